--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -1,2 +1,31 @@
 # One line per library, in dependency order: a library may use only those listed before it.
+# Folders that do not exist yet are skipped.
 kingcupseam_library(error)
+kingcupseam_library(types error)
+target_link_libraries(kingcupseam_types PUBLIC xxhash)
+kingcupseam_library(metrics types)
+kingcupseam_library(statechart types)
+kingcupseam_library(profile types)
+kingcupseam_library(settings types)
+kingcupseam_library(storage types)
+kingcupseam_library(consensus storage)
+kingcupseam_library(membership types)
+kingcupseam_library(ownership types statechart)
+kingcupseam_library(ledger types)
+kingcupseam_library(admission types)
+kingcupseam_library(transport types consensus)
+
+# The Thrift code keeps the names of the IDL, so it is built without the project's warnings.
+if(TARGET kingcupseam_transport)
+  add_library(kingcupseam_generated STATIC src/generated/peer_types.cpp)
+  target_include_directories(kingcupseam_generated SYSTEM PUBLIC src/generated)
+  target_link_libraries(kingcupseam_generated PUBLIC PkgConfig::THRIFT)
+  target_link_libraries(kingcupseam_transport PUBLIC kingcupseam_generated)
+endif()
+
+kingcupseam_library(app metrics statechart profile settings consensus membership ownership ledger admission transport)
+if(TARGET kingcupseam_app)
+  target_link_libraries(kingcupseam_app PUBLIC CURL::libcurl Boost::program_options fmt::fmt spdlog::spdlog http_parser)
+  add_executable(kingcupseam src/main.cpp)
+  target_link_libraries(kingcupseam PRIVATE kingcupseam_app)
+endif()
--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,234 @@
+// Payloads of the frames that instances exchange. docs/protocol.md describes the frame around them.
+// Field numbers are never reused. Times are microseconds, unless a name says otherwise.
+namespace cpp kingcupseam.wire
+
+struct Hello {
+  1: string instance
+  2: i64 incarnation
+  3: string data_center
+  4: i32 protocol_version
+}
+
+struct Heartbeat {
+  1: i64 sent_us
+}
+
+struct HeaderField {
+  1: string name
+  2: string value
+}
+
+struct ForwardRequest {
+  1: string request_id
+  2: string service_name
+  3: i32 shard
+  4: string key
+  5: i8 rank
+  6: bool at_most_once
+  7: string method
+  8: string target
+  9: list<HeaderField> headers
+  10: binary body
+  11: i64 deadline_us
+  12: string upstream
+  13: i64 epoch
+  14: bool to_standby
+  15: string idempotency_key
+}
+
+struct ForwardResponse {
+  1: i8 outcome
+  2: i8 reason
+  3: i32 status
+  4: list<HeaderField> headers
+  5: binary body
+  6: i32 retry_after_ms
+}
+
+struct CancelRequest {
+  1: string request_id
+  2: string upstream
+}
+
+struct LedgerRecord {
+  1: string service_name
+  2: i32 shard
+  3: string idempotency_key
+  4: i64 epoch
+  5: i8 state
+  6: i32 status
+  7: binary answer
+  8: i64 retention_ms
+  9: string request_digest
+}
+
+struct LedgerRecordReply {
+  1: bool accepted
+  2: i64 sealed_epoch
+  3: i8 state
+  4: i32 status
+  5: binary answer
+  6: i64 attempt_epoch
+}
+
+struct LedgerSeal {
+  1: string service_name
+  2: list<i32> shards
+  3: i64 epoch
+}
+
+struct LedgerWindowEntry {
+  1: i32 shard
+  2: string idempotency_key
+  3: i64 epoch
+  4: i8 state
+  5: i32 status
+  6: binary answer
+  7: i64 remaining_ms
+  8: string request_digest
+}
+
+struct LedgerSealReply {
+  1: bool accepted
+  2: i64 sealed_epoch
+  3: list<LedgerWindowEntry> entries
+}
+
+struct LogEntry {
+  1: i64 index
+  2: i64 term
+  3: i8 kind
+  4: binary data
+}
+
+struct Snapshot {
+  1: i64 index
+  2: i64 term
+  3: binary membership
+  4: binary data
+}
+
+struct Member {
+  1: string name
+  2: i64 incarnation
+}
+
+struct ConsensusMessage {
+  1: i8 kind
+  2: i64 group
+  3: Member sender
+  4: Member receiver
+  5: i64 term
+  6: i64 last_index
+  7: i64 last_term
+  8: i64 commit_index
+  9: list<LogEntry> entries
+  10: optional Snapshot state
+  11: bool accepted
+  12: i64 match_index
+  13: i64 round
+}
+
+struct MembershipChange {
+  1: string name
+  2: i64 incarnation
+  3: i8 status
+  4: i32 version
+  5: string address
+}
+
+struct MembershipProbe {
+  1: i8 kind
+  2: i64 sequence
+  3: Member sender
+  4: Member subject
+  5: list<MembershipChange> changes
+}
+
+struct Announce {
+  1: string name
+  2: string service_name
+  3: string address
+  4: i32 slots
+  5: i32 connections
+  6: bool checks_grants
+  7: bool draining
+  8: i64 incarnation
+}
+
+struct UpstreamReport {
+  1: string name
+  2: i8 health
+  3: i64 lease_left_us
+  4: i64 granted_version
+  5: i32 in_flight
+}
+
+struct GateLeaseRequest {
+  1: Member gate
+  2: i64 sequence
+  3: i64 table_version
+  4: list<UpstreamReport> reports
+  5: bool stopping
+}
+
+struct GateLeaseReply {
+  1: bool granted
+  2: i64 sequence
+  3: i64 lease_us
+  4: Member leader
+}
+
+struct TableUpdate {
+  1: string data_center
+  2: i64 version
+  3: binary table
+}
+
+struct TableRequest {
+  1: string data_center
+  2: i64 known_version
+}
+
+struct ProfileUpdate {
+  1: string name
+  2: i64 version
+  3: binary content
+  4: string change_id
+}
+
+struct StateRequest {
+  1: i64 known_global_version
+}
+
+struct StateReply {
+  1: i64 global_version
+  2: binary state
+}
+
+struct CommandRequest {
+  1: i8 tier
+  2: string data_center
+  3: binary command
+}
+
+struct CommandReply {
+  1: bool committed
+  2: i64 index
+  3: Member leader
+  4: string refusal
+  5: binary result
+}
+
+struct SuspectUpdate {
+  1: string request_digest
+  2: i32 crashes
+  3: i64 remaining_ms
+}
+
+struct Saturation {
+  1: string service_name
+  2: i8 rank
+  3: bool saturated
+  4: string upstream
+}
--- /dev/null
+++ b/include/kingcupseam/membership.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <kingcupseam/types.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcupseam::membership {
+
+enum class status : std::uint8_t { alive, suspect, dead, left };
+
+/// What is known of one instance. Of two records of the same incarnation the one with the higher version
+/// wins, and at equal versions the worse status; a higher incarnation replaces a lower one.
+struct record {
+    instance_id id;
+    status condition = status::alive;
+    std::uint32_t version = 0; ///< raised by the instance itself to refute a suspicion
+    endpoint_address address;
+    auto operator<=>(const record&) const = default;
+};
+
+enum class message_kind : std::uint8_t { probe, probe_ack, indirect_probe, join, join_reply };
+
+struct message {
+    message_kind kind = message_kind::probe;
+    std::uint64_t sequence = 0;
+    instance_id from;
+    instance_id subject;      ///< target of an indirect probe
+    endpoint_address address; ///< address of the subject, for an indirect probe
+    std::vector<record> changes;
+    bool operator==(const message&) const = default;
+};
+
+struct outgoing {
+    endpoint_address to;
+    message body;
+};
+
+struct effects {
+    std::vector<outgoing> messages;
+    std::vector<record>
+        changed; ///< records whose status or incarnation changed, for the owner of the detector
+};
+
+struct options {
+    record self;
+    std::vector<endpoint_address> seeds;
+    duration probe_interval = std::chrono::milliseconds(150);
+    duration probe_timeout = std::chrono::milliseconds(60);
+    duration suspicion_timeout = std::chrono::milliseconds(200);
+    duration dead_retention = std::chrono::minutes(10);
+    std::size_t indirect_probes = 2;
+    std::size_t max_piggyback = 6;
+    std::uint64_t seed = 1;
+};
+
+/// Failure detector by random probing with piggybacked changes; the cost per instance does not grow with
+/// their number. Has no clock and no socket.
+class detector {
+public:
+    detector(options settings, time_point now);
+
+    effects tick(time_point now);
+    effects receive(const message& received, const endpoint_address& from, time_point now);
+    /// Announces that this instance leaves, so that the others need no suspicion timeout.
+    effects leave(time_point now);
+
+    std::vector<record> members() const;
+    bool alive(const instance_id& id) const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace kingcupseam::membership
--- /dev/null
+++ b/include/kingcupseam/metrics.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace kingcupseam::metrics {
+
+using labels = std::map<std::string, std::string>;
+
+class counter {
+public:
+    void add(std::uint64_t n = 1) noexcept { value_.fetch_add(n, std::memory_order_relaxed); }
+    std::uint64_t value() const noexcept { return value_.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> value_{0};
+};
+
+class gauge {
+public:
+    void set(std::int64_t value) noexcept { value_.store(value, std::memory_order_relaxed); }
+    std::int64_t value() const noexcept { return value_.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::int64_t> value_{0};
+};
+
+/// Latency histogram in microseconds with logarithmic buckets (8 per power of two); Boost.Accumulators keep
+/// mean, variance, minimum and maximum. Safe to use from several threads.
+class histogram {
+public:
+    histogram();
+    ~histogram();
+    histogram(const histogram&) = delete;
+    histogram& operator=(const histogram&) = delete;
+
+    void record(std::uint64_t microseconds);
+    std::uint64_t count() const;
+    double mean() const;
+    double standard_deviation() const;
+    std::uint64_t max() const;
+    /// @param fraction 0 to 1
+    /// @returns the upper bound of the bucket that holds the quantile, 0 when empty
+    std::uint64_t quantile(double fraction) const;
+    /// Cumulative counts at the given upper bounds, for the Prometheus text.
+    std::vector<std::uint64_t> cumulative(const std::vector<std::uint64_t>& bounds) const;
+    void merge(const histogram& other);
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// All metrics of a process. References stay valid for the registry's lifetime.
+class registry {
+public:
+    counter& counter_of(const std::string& name, const std::string& help, const labels& tags = {});
+    gauge& gauge_of(const std::string& name, const std::string& help, const labels& tags = {});
+    histogram& histogram_of(const std::string& name, const std::string& help, const labels& tags = {});
+    /// Prometheus text format 0.0.4; histograms in seconds.
+    std::string prometheus_text() const;
+
+private:
+    template <class T>
+    struct family {
+        std::string help;
+        std::map<labels, std::unique_ptr<T>> members;
+    };
+
+    mutable std::mutex mutex_;
+    std::map<std::string, family<counter>> counters_;
+    std::map<std::string, family<gauge>> gauges_;
+    std::map<std::string, family<histogram>> histograms_;
+};
+
+} // namespace kingcupseam::metrics
--- /dev/null
+++ b/include/kingcupseam/transport.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <kingcupseam/error.h>
+#include <kingcupseam/types.h>
+
+#include <asio.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace kingcupseam::transport {
+
+enum class frame_type : std::uint16_t {
+    hello = 1,
+    heartbeat,
+    forward_request,
+    forward_response,
+    cancel_request,
+    ledger_record,
+    ledger_record_reply,
+    ledger_seal,
+    ledger_seal_reply,
+    consensus_message,
+    membership_probe,
+    announce,
+    gate_lease_request,
+    gate_lease_reply,
+    table_update,
+    table_request,
+    profile_update,
+    state_request,
+    state_reply,
+    command_request,
+    command_reply,
+    suspect_update,
+    saturation,
+};
+inline constexpr std::uint16_t last_frame_type = static_cast<std::uint16_t>(frame_type::saturation);
+
+inline constexpr std::uint32_t max_frame_bytes = 8 * 1024 * 1024;
+inline constexpr std::size_t frame_header_bytes = 14;
+
+struct frame {
+    frame_type type = frame_type::heartbeat;
+    std::uint64_t correlation = 0; ///< 0 for one-way frames
+    std::string payload;
+    auto operator<=>(const frame&) const = default;
+};
+
+/// A frame or payload that does not follow docs/protocol.md; the link it came from is closed.
+class malformed_frame : public error {
+public:
+    using error::error;
+};
+
+std::string encode_frame(const frame& source);
+
+/// Cuts a byte stream into frames.
+class frame_decoder {
+public:
+    void feed(std::string_view bytes);
+    /// @returns the next complete frame
+    /// @throws malformed_frame on an unknown type or a length out of range
+    std::optional<frame> next();
+
+private:
+    std::string buffer_;
+    std::size_t consumed_ = 0;
+};
+
+/// Encodes a generated Thrift struct in the compact protocol. Instantiated for the structs of
+/// idl/peer.thrift.
+template <class T>
+std::string encode(const T& value);
+/// @throws malformed_frame
+template <class T>
+T decode(std::string_view payload);
+
+struct link_options {
+    duration heartbeat_interval = std::chrono::milliseconds(100);
+    duration heartbeat_timeout = std::chrono::milliseconds(400);
+    duration connect_timeout = std::chrono::milliseconds(300);
+    duration redial_delay = std::chrono::milliseconds(50);
+    std::size_t max_unsent_bytes = 32 * 1024 * 1024;
+};
+
+/// Who is at the other end, from its hello.
+struct peer_identity {
+    instance_id id;
+    std::string data_center;
+    auto operator<=>(const peer_identity&) const = default;
+};
+
+/// Why a request over a link got no reply.
+enum class link_failure : std::uint8_t {
+    not_sent, ///< no byte of the request was handed to the socket: the peer cannot have seen it
+    lost,     ///< the link failed after the request may have been sent
+    timeout,
+};
+
+struct reply {
+    std::optional<frame> answer;
+    link_failure failure = link_failure::not_sent; ///< when there is no answer
+};
+
+/// One connection that was accepted or dialled. All members are called on its io_context's thread.
+class connection : public std::enable_shared_from_this<connection> {
+public:
+    virtual ~connection() = default;
+    virtual void send(frame outgoing) = 0;
+    virtual const peer_identity& peer() const = 0;
+    virtual bool open() const = 0;
+};
+
+/// A frame from a peer; reply through the connection with the same correlation number.
+using frame_handler = std::function<void(const std::shared_ptr<connection>&, frame)>;
+
+/// Dials one peer, keeps the connection alive with heartbeats and dials anew when it falls silent.
+class link {
+public:
+    link(asio::io_context& context, endpoint_address remote, peer_identity self, link_options settings,
+         frame_handler on_frame);
+    ~link();
+    link(const link&) = delete;
+    link& operator=(const link&) = delete;
+
+    /// Sends a request; @p done is called exactly once on the io_context's thread.
+    void request(frame outgoing, duration timeout, std::function<void(reply)> done);
+    /// Sends a one-way frame; dropped when the link is down.
+    void notify(frame outgoing);
+    bool up() const;
+    void on_state_change(std::function<void(bool up)> observer);
+    std::uint64_t bytes_sent() const;
+    std::uint64_t bytes_received() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+/// Accepts links of other instances.
+class server {
+public:
+    server(asio::io_context& context, const endpoint_address& listen, peer_identity self,
+           link_options settings, frame_handler on_frame);
+    ~server();
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    void stop();
+    std::uint64_t bytes_sent() const;
+    std::uint64_t bytes_received() const;
+    std::uint64_t malformed_frames() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace kingcupseam::transport
--- /dev/null
+++ b/src/app/http_client.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "app/http_server.h"
+
+#include <kingcupseam/types.h>
+
+#include <asio.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kingcupseam::app {
+
+struct http_call {
+    std::string method = "GET";
+    std::string url;
+    header_list headers;
+    std::string body;
+    duration timeout = std::chrono::seconds(5);
+    duration connect_timeout = std::chrono::milliseconds(500);
+    bool fresh_connection = false; ///< never reuse a pooled connection, and do not keep this one
+};
+
+enum class http_failure : std::uint8_t {
+    none,
+    refused,   ///< no connection: no byte of the request was sent
+    not_sent,  ///< the connection failed before any byte of the request was written
+    timeout,   ///< no complete answer in time; the request may have been received
+    broken,    ///< the connection failed after the request may have been received
+    cut_off,   ///< the answer was shorter than its Content-Length
+    cancelled, ///< cancel() was called
+};
+
+struct http_result {
+    http_failure failure = http_failure::none;
+    http_response answer;   ///< set when failure is none; header names in lower case
+    bool connected = false; ///< a connection was established or reused
+};
+
+/// Asynchronous HTTP/1.1 client: libcurl's multi interface driven by an io_context with one thread.
+class http_client {
+public:
+    struct options {
+        std::size_t max_connections_per_host = 64;
+        std::size_t max_response_bytes = 8 * 1024 * 1024;
+    };
+
+    http_client(asio::io_context& context, options settings);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// @param done called exactly once on the io_context's thread
+    /// @returns a number for cancel()
+    std::uint64_t send(http_call call, std::function<void(http_result)> done);
+    /// Ends a call; its connection is closed. No effect when it has ended.
+    void cancel(std::uint64_t id);
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/profile_command.cpp
@@ -0,0 +1,11 @@
+#include "app/commands.h"
+
+#include <kingcupseam/error.h>
+
+namespace kingcupseam::app {
+
+int run_profile(const arguments& /*args*/) {
+    throw error("this command is not available yet");
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,69 @@
+#include "app/commands.h"
+
+#include <kingcupseam/error.h>
+
+#include <array>
+#include <cstdio>
+#include <exception>
+#include <string>
+#include <string_view>
+
+namespace {
+
+using namespace kingcupseam::app;
+
+struct command {
+    std::string_view name;
+    std::string_view summary;
+    int (*run)(const arguments&);
+};
+
+constexpr std::array<command, 6> commands{{
+    {"serve", "run an instance", run_serve},
+    {"check", "validate settings, profiles and state charts", run_check},
+    {"profile", "accept, show, list or compare profiles", run_profile},
+    {"status", "show owners, gates, groups and instances", run_status},
+    {"stand-in", "run a model of an upstream, for experiments", run_stand_in},
+    {"load", "send load and report service per rank, for experiments", run_load},
+}};
+
+void print_usage(std::FILE* out) {
+    std::fputs("usage: kingcupseam COMMAND [OPTION...]\n\ncommands:\n", out);
+    for (const auto& it : commands) {
+        std::fprintf(out, "  %-9s %s\n", it.name.data(), it.summary.data());
+    }
+    std::fputs("\nkingcupseam COMMAND --help lists the options of a command.\n", out);
+}
+
+int dispatch(const arguments& words) {
+    if (words.empty()) {
+        print_usage(stderr);
+        return exit_invalid_input;
+    }
+    if (words.front() == "--help" || words.front() == "help") {
+        print_usage(stdout);
+        return exit_success;
+    }
+    for (const auto& it : commands) {
+        if (it.name == words.front()) {
+            return it.run({words.begin() + 1, words.end()});
+        }
+    }
+    std::fprintf(stderr, "kingcupseam: unknown command '%s'\n", words.front().c_str());
+    print_usage(stderr);
+    return exit_invalid_input;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return dispatch(arguments(argv + 1, argv + argc));
+    } catch (const kingcupseam::invalid_input& e) {
+        std::fprintf(stderr, "kingcupseam: %s\n", e.what());
+        return exit_invalid_input;
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "kingcupseam: %s\n", e.what());
+        return exit_failure;
+    }
+}
--- /dev/null
+++ b/tests/types/types_test.cpp
@@ -0,0 +1,42 @@
+#include <doctest/doctest.h>
+
+#include <kingcupseam/error.h>
+#include <kingcupseam/types.h>
+
+#include <set>
+
+using namespace kingcupseam;
+
+TEST_CASE("values shared by all libraries have one text form") {
+    SUBCASE("every rank parses back from its name") {
+        for (const rank value : all_ranks) {
+            CHECK(parse_rank("t", "f", to_string(value)) == value);
+        }
+        CHECK_THROWS_AS(parse_rank("t", "f", "soon"), invalid_input);
+    }
+    SUBCASE("refusal names are distinct, so a caller can tell the reasons apart") {
+        std::set<std::string_view> names;
+        for (int n = 0; n <= static_cast<int>(refusal::shutting_down); ++n) {
+            names.insert(to_string(static_cast<refusal>(n)));
+        }
+        CHECK(names.size() == static_cast<std::size_t>(refusal::shutting_down) + 1);
+        CHECK(names.count("invalid") == 0);
+    }
+    SUBCASE("an endpoint needs an address and a port in range") {
+        CHECK(parse_endpoint("t", "f", "127.0.1.1:80") == endpoint_address{"127.0.1.1", 80});
+        for (const char* text :
+             {"", ":80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536", "1:2x"}) {
+            CHECK_THROWS_AS(parse_endpoint("t", "f", text), invalid_input);
+        }
+    }
+    SUBCASE("shards of many keys are spread evenly") {
+        std::array<int, 16> counts{};
+        for (int n = 0; n < 16000; ++n) {
+            ++counts.at(shard_of("key-" + std::to_string(n), 16));
+        }
+        for (const int n : counts) {
+            CHECK(n > 850);
+            CHECK(n < 1150);
+        }
+    }
+}
