--- /dev/null
+++ b/src/app/http_server.cpp
@@ -0,0 +1,127 @@
+#include "app/http_server.h"
+
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <string_view>
+
+namespace kingcupseam::app {
+
+namespace {
+
+bool equal_without_case(std::string_view a, std::string_view b) {
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return std::tolower(static_cast<unsigned char>(x)) ==
+                      std::tolower(static_cast<unsigned char>(y));
+           });
+}
+
+struct server_traits : restinio::default_single_thread_traits_t {
+    using request_handler_t =
+        std::function<restinio::request_handling_status_t(std::shared_ptr<restinio::request_t>)>;
+};
+
+using restinio_server = restinio::http_server_t<server_traits>;
+
+constexpr std::size_t max_header_count = 64;
+constexpr std::size_t max_header_bytes = 16 * 1024;
+constexpr std::size_t max_target_bytes = 8 * 1024;
+constexpr std::chrono::seconds idle_timeout{120};
+// Longer than any deadline of a profile (60 s), so that the handler always answers first.
+constexpr std::chrono::seconds handler_timeout{90};
+
+http_request convert(const restinio::request_t& source) {
+    http_request result;
+    result.method = source.header().method().c_str();
+    result.target = source.header().request_target();
+    source.header().for_each_field([&](const restinio::http_header_field_t& field) {
+        result.headers.emplace_back(field.name(), field.value());
+    });
+    result.body = source.body();
+    return result;
+}
+
+void answer(const restinio::request_handle_t& request, http_response response) {
+    auto builder = request->create_response(restinio::http_status_line_t{
+        restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, ""});
+    for (auto& [name, value] : response.headers) {
+        builder.append_header(std::move(name), std::move(value));
+    }
+    if (request->header().should_keep_alive()) {
+        builder.connection_keep_alive();
+    } else {
+        builder.connection_close();
+    }
+    builder.set_body(std::move(response.body));
+    builder.done();
+}
+
+auto make_settings(const http_server_options& options, http_handler handler) {
+    return restinio::server_settings_t<server_traits>{}
+        .address(options.listen.ip)
+        .port(options.listen.port)
+        .max_pipelined_requests(1)
+        .read_next_http_message_timelimit(idle_timeout)
+        .handle_request_timeout(handler_timeout)
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_body_size(options.max_body_bytes)
+                                      .max_field_count(max_header_count)
+                                      .max_field_value_size(max_header_bytes)
+                                      .max_url_size(max_target_bytes))
+        .socket_options_setter(
+            [](restinio::socket_options_t& it) { it.set_option(asio::ip::tcp::no_delay{true}); })
+        .request_handler([handler = std::move(handler)](const restinio::request_handle_t& request) {
+            handler(convert(*request),
+                    [request](http_response response) { answer(request, std::move(response)); });
+            return restinio::request_accepted();
+        });
+}
+
+} // namespace
+
+std::string http_request::path() const {
+    return target.substr(0, target.find('?'));
+}
+
+std::string http_request::query(const std::string& name) const {
+    const auto mark = target.find('?');
+    if (mark == std::string::npos) {
+        return {};
+    }
+    const auto parameters = restinio::try_parse_query<restinio::parse_query_traits::restinio_defaults>(
+        std::string_view(target).substr(mark + 1));
+    if (!parameters || !parameters->has(name)) {
+        return {};
+    }
+    return std::string((*parameters)[name]);
+}
+
+std::string http_request::header(const std::string& name) const {
+    for (const auto& [field, value] : headers) {
+        if (equal_without_case(field, name)) {
+            return value;
+        }
+    }
+    return {};
+}
+
+struct http_server::state {
+    state(asio::io_context& context, const http_server_options& options, http_handler handler)
+        : server(restinio::external_io_context(context), make_settings(options, std::move(handler))) {}
+
+    restinio_server server;
+};
+
+http_server::http_server(asio::io_context& context, const http_server_options& settings, http_handler handler)
+    : state_(std::make_unique<state>(context, settings, std::move(handler))) {
+    state_->server.open_sync();
+}
+
+http_server::~http_server() = default;
+
+void http_server::stop_accepting() {
+    state_->server.close_sync();
+}
+
+} // namespace kingcupseam::app
