--- a/include/kingcupseam/transport.h
+++ b/include/kingcupseam/transport.h
@@ -120,15 +120,16 @@
 using frame_handler = std::function<void(const std::shared_ptr<connection>&, frame)>;
 
 /// Dials one peer, keeps the connection alive with heartbeats and dials anew when it falls silent.
-class link {
+class peer_link {
 public:
-    link(asio::io_context& context, endpoint_address remote, peer_identity self, link_options settings,
-         frame_handler on_frame);
-    ~link();
-    link(const link&) = delete;
-    link& operator=(const link&) = delete;
-
-    /// Sends a request; @p done is called exactly once on the io_context's thread.
+    peer_link(asio::io_context& context, endpoint_address remote, peer_identity self, link_options settings,
+              frame_handler on_frame);
+    ~peer_link();
+    peer_link(const peer_link&) = delete;
+    peer_link& operator=(const peer_link&) = delete;
+
+    /// Sends a request; @p done is called exactly once on the io_context's thread, unless the link is
+    /// destroyed first.
     void request(frame outgoing, duration timeout, std::function<void(reply)> done);
     /// Sends a one-way frame; dropped when the link is down.
     void notify(frame outgoing);
@@ -143,13 +144,13 @@
 };
 
 /// Accepts links of other instances.
-class server {
+class peer_server {
 public:
-    server(asio::io_context& context, const endpoint_address& listen, peer_identity self,
-           link_options settings, frame_handler on_frame);
-    ~server();
-    server(const server&) = delete;
-    server& operator=(const server&) = delete;
+    peer_server(asio::io_context& context, const endpoint_address& listen, peer_identity self,
+                link_options settings, frame_handler on_frame);
+    ~peer_server();
+    peer_server(const peer_server&) = delete;
+    peer_server& operator=(const peer_server&) = delete;
 
     void stop();
     std::uint64_t bytes_sent() const;
@@ -161,4 +162,27 @@
     std::shared_ptr<state> state_;
 };
 
+inline constexpr std::size_t max_datagram_bytes = 1400; ///< fits an Ethernet frame, so it is not fragmented
+
+/// Unreliable datagrams, for membership probes.
+class datagram_channel {
+public:
+    using handler = std::function<void(const endpoint_address& from, std::string_view payload)>;
+
+    /// @throws io_error when the address cannot be bound
+    datagram_channel(asio::io_context& context, const endpoint_address& listen, handler on_datagram);
+    ~datagram_channel();
+    datagram_channel(const datagram_channel&) = delete;
+    datagram_channel& operator=(const datagram_channel&) = delete;
+
+    /// Payloads above max_datagram_bytes are not sent.
+    void send(const endpoint_address& to, std::string_view payload);
+    std::uint64_t bytes_sent() const;
+    std::uint64_t bytes_received() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
 } // namespace kingcupseam::transport
--- /dev/null
+++ b/src/transport/link.cpp
@@ -0,0 +1,237 @@
+#include "transport/stream_connection.h"
+
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace kingcupseam::transport {
+
+struct peer_link::state : std::enable_shared_from_this<peer_link::state> {
+    struct pending_request {
+        std::function<void(reply)> done;
+        std::uint64_t position = 0; ///< of its frame in the connection's send queue
+        std::multimap<time_point, std::uint64_t>::iterator deadline;
+    };
+
+    state(asio::io_context& io, endpoint_address remote_address, peer_identity self_identity,
+          link_options link_settings, frame_handler handler)
+
+        : context(io), remote(std::move(remote_address)), self(std::move(self_identity)),
+          settings(link_settings), on_frame(std::move(handler)), redial_timer(context),
+          deadline_timer(context) {}
+
+    void dial();
+    void on_connected(const asio::error_code& ec, asio::ip::tcp::socket socket);
+    void redial_later();
+    void on_closed();
+    void on_reply(frame received);
+    void request(frame outgoing, duration timeout, std::function<void(reply)> done);
+    void fail_pending(std::uint64_t handed_to_socket);
+    void arm_deadline();
+    void expire(time_point now);
+    void stop();
+    void set_up(bool value);
+
+    asio::io_context& context;
+    endpoint_address remote;
+    peer_identity self;
+    link_options settings;
+    frame_handler on_frame;
+    asio::steady_timer redial_timer;
+    asio::steady_timer deadline_timer;
+    std::shared_ptr<stream_connection> current;
+    std::unordered_map<std::uint64_t, pending_request> pending;
+    std::multimap<time_point, std::uint64_t> deadlines;
+    std::function<void(bool)> on_state_change;
+    std::uint64_t next_correlation = 1;
+    std::uint64_t past_bytes_sent = 0;
+    std::uint64_t past_bytes_received = 0;
+    bool is_up = false;
+    bool stopped = false;
+};
+
+void peer_link::state::dial() {
+    if (stopped) {
+        return;
+    }
+    auto socket = std::make_shared<asio::ip::tcp::socket>(context);
+    auto timer = std::make_shared<asio::steady_timer>(context, settings.connect_timeout);
+    timer->async_wait([socket](const asio::error_code& ec) {
+        if (!ec) {
+            asio::error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    const asio::ip::tcp::endpoint target(asio::ip::make_address(remote.ip), remote.port);
+    socket->async_connect(target, [it = shared_from_this(), socket, timer](const asio::error_code& ec) {
+        timer->cancel();
+        it->on_connected(ec, std::move(*socket));
+    });
+}
+
+void peer_link::state::on_connected(const asio::error_code& ec, asio::ip::tcp::socket socket) {
+    if (stopped) {
+        return;
+    }
+    if (ec || !socket.is_open()) {
+        redial_later();
+        return;
+    }
+    current = std::make_shared<stream_connection>(std::move(socket), self, settings);
+    current->start({[it = shared_from_this()] { it->set_up(true); },
+                    [it = shared_from_this()](frame received) { it->on_reply(std::move(received)); },
+                    [it = shared_from_this()](bool) { it->on_closed(); }});
+}
+
+void peer_link::state::redial_later() {
+    redial_timer.expires_after(settings.redial_delay);
+    redial_timer.async_wait([it = shared_from_this()](const asio::error_code& ec) {
+        if (!ec) {
+            it->dial();
+        }
+    });
+}
+
+void peer_link::state::on_closed() {
+    if (!current) {
+        return;
+    }
+    const auto closed = std::exchange(current, nullptr);
+    past_bytes_sent += closed->bytes_sent();
+    past_bytes_received += closed->bytes_received();
+    set_up(false);
+    fail_pending(closed->handed_to_socket());
+    if (!stopped) {
+        redial_later();
+    }
+}
+
+void peer_link::state::set_up(bool value) {
+    if (is_up != value) {
+        is_up = value;
+        if (on_state_change) {
+            on_state_change(value);
+        }
+    }
+}
+
+void peer_link::state::on_reply(frame received) {
+    const auto it = received.correlation == 0 ? pending.end() : pending.find(received.correlation);
+    if (it == pending.end()) {
+        // Either a one-way frame, or a reply that came after its request timed out.
+        if (received.correlation == 0 && on_frame && current) {
+            on_frame(current, std::move(received));
+        }
+        return;
+    }
+    const auto done = std::move(it->second.done);
+    deadlines.erase(it->second.deadline);
+    pending.erase(it);
+    done({std::move(received), link_failure::lost});
+}
+
+void peer_link::state::request(frame outgoing, duration timeout, std::function<void(reply)> done) {
+    if (!is_up || !current) {
+        asio::post(context, [done = std::move(done)] { done({std::nullopt, link_failure::not_sent}); });
+        return;
+    }
+    const std::uint64_t correlation = next_correlation++;
+    outgoing.correlation = correlation;
+    const auto deadline = deadlines.emplace(steady_now() + timeout, correlation);
+    pending.emplace(correlation, pending_request{std::move(done), current->queued() + 1, deadline});
+    const bool earliest = deadline == deadlines.begin();
+    current->send(std::move(outgoing));
+    if (earliest) {
+        arm_deadline();
+    }
+}
+
+void peer_link::state::fail_pending(std::uint64_t handed_to_socket) {
+    deadlines.clear();
+    const auto failed = std::exchange(pending, {});
+    for (const auto& [correlation, it] : failed) {
+        it.done({std::nullopt, it.position > handed_to_socket ? link_failure::not_sent : link_failure::lost});
+    }
+}
+
+void peer_link::state::arm_deadline() {
+    if (deadlines.empty()) {
+        return;
+    }
+    deadline_timer.expires_at(deadlines.begin()->first);
+    deadline_timer.async_wait([it = shared_from_this()](const asio::error_code& ec) {
+        if (!ec) {
+            it->expire(steady_now());
+        }
+    });
+}
+
+void peer_link::state::expire(time_point now) {
+    std::vector<std::function<void(reply)>> expired;
+    while (!deadlines.empty() && deadlines.begin()->first <= now) {
+        const auto it = pending.find(deadlines.begin()->second);
+        deadlines.erase(deadlines.begin());
+        expired.push_back(std::move(it->second.done));
+        pending.erase(it);
+    }
+    for (const auto& it : expired) {
+        it({std::nullopt, link_failure::timeout});
+    }
+    arm_deadline();
+}
+
+void peer_link::state::stop() {
+    stopped = true;
+    on_state_change = nullptr;
+    on_frame = nullptr;
+    asio::error_code ec;
+    redial_timer.cancel(ec);
+    deadline_timer.cancel(ec);
+    pending.clear();
+    deadlines.clear();
+    if (current) {
+        const auto closing = std::exchange(current, nullptr);
+        closing->close();
+    }
+}
+
+peer_link::peer_link(asio::io_context& context, endpoint_address remote, peer_identity self,
+                     link_options settings, frame_handler on_frame)
+    : state_(std::make_shared<state>(context, std::move(remote), std::move(self), settings,
+                                     std::move(on_frame))) {
+    asio::post(context, [it = state_] { it->dial(); });
+}
+
+peer_link::~peer_link() {
+    state_->stop();
+}
+
+void peer_link::request(frame outgoing, duration timeout, std::function<void(reply)> done) {
+    state_->request(std::move(outgoing), timeout, std::move(done));
+}
+
+void peer_link::notify(frame outgoing) {
+    if (state_->is_up && state_->current) {
+        outgoing.correlation = 0;
+        state_->current->send(std::move(outgoing));
+    }
+}
+
+bool peer_link::up() const {
+    return state_->is_up;
+}
+
+void peer_link::on_state_change(std::function<void(bool up)> observer) {
+    state_->on_state_change = std::move(observer);
+}
+
+std::uint64_t peer_link::bytes_sent() const {
+    return state_->past_bytes_sent + (state_->current ? state_->current->bytes_sent() : 0);
+}
+
+std::uint64_t peer_link::bytes_received() const {
+    return state_->past_bytes_received + (state_->current ? state_->current->bytes_received() : 0);
+}
+
+} // namespace kingcupseam::transport
--- /dev/null
+++ b/src/transport/stream_connection.cpp
@@ -0,0 +1,168 @@
+#include "transport/stream_connection.h"
+
+#include <peer_types.h>
+
+namespace kingcupseam::transport {
+
+namespace {
+
+constexpr std::int32_t protocol_version = 1;
+
+std::string hello_payload(const peer_identity& self) {
+    wire::Hello hello;
+    hello.instance = self.id.name;
+    hello.incarnation = static_cast<std::int64_t>(self.id.incarnation);
+    hello.data_center = self.data_center;
+    hello.protocol_version = protocol_version;
+    return encode(hello);
+}
+
+} // namespace
+
+stream_connection::stream_connection(asio::ip::tcp::socket socket, peer_identity self,
+                                     const link_options& settings)
+    : socket_(std::move(socket)), heartbeat_timer_(socket_.get_executor()), self_identity_(std::move(self)),
+      settings_(settings) {}
+
+void stream_connection::start(handlers callbacks) {
+    callbacks_ = std::move(callbacks);
+    asio::error_code ec;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    open_ = true;
+    last_received_ = steady_now();
+    send({frame_type::hello, 0, hello_payload(self_identity_)});
+    schedule_heartbeat();
+    read();
+}
+
+void stream_connection::close() {
+    fail(false);
+}
+
+void stream_connection::send(frame outgoing) {
+    if (!open_) {
+        return;
+    }
+    if (pending_.size() + outgoing.payload.size() > settings_.max_unsent_bytes) {
+        // The peer does not read: without this bound its backlog would fill this instance's memory.
+        fail(false);
+        return;
+    }
+    pending_ += encode_frame(outgoing);
+    ++queued_;
+    if (writing_.empty()) {
+        write();
+    }
+}
+
+void stream_connection::write() {
+    // Frames that were queued during the last write leave together in one system call.
+    writing_.swap(pending_);
+    handed_to_socket_ = queued_;
+    last_sent_ = steady_now();
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [it = self()](const asio::error_code& ec, std::size_t n) { it->on_written(ec, n); });
+}
+
+void stream_connection::on_written(const asio::error_code& ec, std::size_t n) {
+    bytes_sent_ += n;
+    writing_.clear();
+    if (ec) {
+        fail(false);
+        return;
+    }
+    if (open_ && !pending_.empty()) {
+        write();
+    }
+}
+
+void stream_connection::read() {
+    socket_.async_read_some(asio::buffer(input_),
+                            [it = self()](const asio::error_code& ec, std::size_t n) { it->on_read(ec, n); });
+}
+
+void stream_connection::on_read(const asio::error_code& ec, std::size_t n) {
+    if (ec || !open_) {
+        fail(false);
+        return;
+    }
+    bytes_received_ += n;
+    last_received_ = steady_now();
+    decoder_.feed(std::string_view(input_.data(), n));
+    try {
+        take_frames();
+    } catch (const malformed_frame&) {
+        fail(true);
+        return;
+    }
+    if (open_) {
+        read();
+    }
+}
+
+void stream_connection::take_frames() {
+    while (open_) {
+        auto received = decoder_.next();
+        if (!received) {
+            return;
+        }
+        if (!greeted_) {
+            take_hello(*received);
+        } else if (received->type != frame_type::heartbeat) {
+            callbacks_.on_frame(std::move(*received));
+        }
+    }
+}
+
+void stream_connection::take_hello(const frame& received) {
+    if (received.type != frame_type::hello) {
+        throw malformed_frame("the first frame is not hello");
+    }
+    const auto hello = decode<wire::Hello>(received.payload);
+    if (hello.protocol_version != protocol_version) {
+        throw malformed_frame("protocol version " + std::to_string(hello.protocol_version) +
+                              " is not supported");
+    }
+    peer_ = {{hello.instance, static_cast<std::uint64_t>(hello.incarnation)}, hello.data_center};
+    greeted_ = true;
+    callbacks_.on_ready();
+}
+
+void stream_connection::schedule_heartbeat() {
+    heartbeat_timer_.expires_after(settings_.heartbeat_interval);
+    heartbeat_timer_.async_wait([it = self()](const asio::error_code& ec) {
+        if (!ec && it->open_) {
+            it->on_heartbeat_due();
+        }
+    });
+}
+
+void stream_connection::on_heartbeat_due() {
+    const time_point now = steady_now();
+    if (now - last_received_ > settings_.heartbeat_timeout) {
+        // An open connection can go silent for good while new ones work, so it is closed and dialled anew.
+        fail(false);
+        return;
+    }
+    if (now - last_sent_ >= settings_.heartbeat_interval / 2) {
+        send({frame_type::heartbeat, 0, {}});
+    }
+    schedule_heartbeat();
+}
+
+void stream_connection::fail(bool malformed) {
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    asio::error_code ec;
+    heartbeat_timer_.cancel(ec);
+    socket_.close(ec);
+    // The callbacks hold the owner; releasing them here breaks the reference cycle.
+    const auto callbacks = std::exchange(callbacks_, {});
+    if (callbacks.on_closed) {
+        callbacks.on_closed(malformed);
+    }
+}
+
+} // namespace kingcupseam::transport
--- /dev/null
+++ b/tests/transport/frame_test.cpp
@@ -0,0 +1,64 @@
+#include <doctest/doctest.h>
+
+#include <kingcupseam/transport.h>
+
+#include <peer_types.h>
+
+using namespace kingcupseam;
+using namespace kingcupseam::transport;
+
+TEST_CASE("a byte stream is cut into frames") {
+    const frame first{frame_type::forward_request, 7, "hello"};
+    const frame second{frame_type::heartbeat, 0, ""};
+    const std::string stream = encode_frame(first) + encode_frame(second);
+
+    SUBCASE("whatever the sizes of the pieces are") {
+        for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+            frame_decoder decoder;
+            std::vector<frame> received;
+            for (std::size_t at = 0; at < stream.size(); at += piece) {
+                decoder.feed(std::string_view(stream).substr(at, piece));
+                while (auto it = decoder.next()) {
+                    received.push_back(*it);
+                }
+            }
+            CHECK(received == std::vector<frame>{first, second});
+        }
+    }
+    SUBCASE("an oversize, undersize or unknown frame is an error and allocates nothing") {
+        for (const std::string& bytes :
+             {std::string("\xff\xff\xff\xff", 4), std::string("\x00\x00\x00\x09", 4),
+              std::string("\x00\x00\x00\x0a\x00\x00\0\0\0\0\0\0\0\0", 14),
+              std::string("\x00\x00\x00\x0a\x7f\xff\0\0\0\0\0\0\0\0", 14)}) {
+            frame_decoder decoder;
+            decoder.feed(bytes);
+            CHECK_THROWS_AS(decoder.next(), malformed_frame);
+        }
+    }
+    SUBCASE("a payload above the limit is refused before it is sent") {
+        CHECK_THROWS_AS(encode_frame({frame_type::heartbeat, 0, std::string(max_frame_bytes, 'x')}),
+                        malformed_frame);
+    }
+}
+
+TEST_CASE("payloads are Thrift compact structs") {
+    wire::ForwardRequest request;
+    request.service_name = "registry";
+    request.body = std::string("\0\1\2", 3);
+    request.shard = 4095;
+
+    SUBCASE("a struct survives the round trip") {
+        CHECK(decode<wire::ForwardRequest>(encode(request)) == request);
+    }
+    SUBCASE("a cut-off payload is a typed error") {
+        const std::string bytes = encode(request);
+        for (std::size_t n = 0; n < bytes.size(); ++n) {
+            CHECK_THROWS_AS(decode<wire::ForwardRequest>(bytes.substr(0, n)), malformed_frame);
+        }
+    }
+    SUBCASE("a list length beyond the payload is a typed error, not an allocation") {
+        // Field 9 (list of structs) with a claimed size of 2^31 - 1 elements.
+        const std::string bytes("\x99\xfc\xff\xff\xff\xff\x07", 7);
+        CHECK_THROWS_AS(decode<wire::ForwardRequest>(bytes), malformed_frame);
+    }
+}
--- /dev/null
+++ b/tests/transport/link_test.cpp
@@ -0,0 +1,136 @@
+#include <doctest/doctest.h>
+
+#include <kingcupseam/transport.h>
+
+#include <peer_types.h>
+
+#include <functional>
+
+using namespace kingcupseam;
+using namespace kingcupseam::transport;
+using namespace std::chrono_literals;
+
+namespace {
+
+const endpoint_address listen_address{"127.0.0.1", 39411};
+constexpr auto test_limit = 3s;
+
+bool run_until(asio::io_context& context, const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + test_limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        context.restart();
+        context.run_for(5ms);
+    }
+    return true;
+}
+
+/// Answers every request with its own payload.
+void echo(const std::shared_ptr<connection>& from, frame received) {
+    from->send({frame_type::forward_response, received.correlation, std::move(received.payload)});
+}
+
+peer_identity identity(const std::string& name) {
+    return {{name, 1}, "north"};
+}
+
+/// A peer that accepts and greets, and then never sends again.
+struct silent_peer {
+    explicit silent_peer(asio::io_context& context)
+        : acceptor(context, {asio::ip::make_address(listen_address.ip), listen_address.port}) {
+        accept();
+    }
+    void accept() {
+        acceptor.async_accept([this](const asio::error_code& ec, asio::ip::tcp::socket socket) {
+            if (!ec) {
+                ++accepted;
+                wire::Hello hello;
+                hello.instance = "silent";
+                hello.protocol_version = 1;
+                asio::write(socket, asio::buffer(encode_frame({frame_type::hello, 0, encode(hello)})));
+                sockets.push_back(std::move(socket));
+                accept();
+            }
+        });
+    }
+    asio::ip::tcp::acceptor acceptor;
+    std::vector<asio::ip::tcp::socket> sockets;
+    int accepted = 0;
+};
+
+} // namespace
+
+TEST_CASE("a link carries requests to a peer") {
+    asio::io_context context;
+
+    SUBCASE("while the peer answers") {
+        peer_server peer(context, listen_address, identity("b"), {}, echo);
+        peer_link to_peer(context, listen_address, identity("a"), {}, nullptr);
+        REQUIRE(run_until(context, [&] { return to_peer.up(); }));
+
+        SUBCASE("each request gets its own answer") {
+            int matched = 0;
+            for (int n = 0; n < 100; ++n) {
+                const std::string payload = std::to_string(n);
+                to_peer.request({frame_type::forward_request, 0, payload}, 1s,
+                                [&matched, payload](const reply& it) {
+                                    matched += it.answer && it.answer->payload == payload ? 1 : 0;
+                                });
+            }
+            CHECK(run_until(context, [&] { return matched == 100; }));
+        }
+        SUBCASE("a malformed frame closes that connection only") {
+            asio::ip::tcp::socket raw(context);
+            raw.connect({asio::ip::make_address(listen_address.ip), listen_address.port});
+            asio::write(raw, asio::buffer(std::string("\xff\xff\xff\xff", 4)));
+            CHECK(run_until(context, [&] { return peer.malformed_frames() == 1; }));
+            CHECK(to_peer.up());
+        }
+    }
+    SUBCASE("a request without a link is reported as not sent, so that it may go elsewhere") {
+        peer_link to_nobody(context, listen_address, identity("a"), {}, nullptr);
+        std::optional<reply> result;
+        to_nobody.request({frame_type::forward_request, 0, "x"}, 1s,
+                          [&](reply it) { result = std::move(it); });
+        REQUIRE(run_until(context, [&] { return result.has_value(); }));
+        CHECK(result->failure == link_failure::not_sent);
+    }
+    SUBCASE("a connection that falls silent is closed and dialled anew") {
+        silent_peer peer(context);
+        peer_link to_peer(context, listen_address, identity("a"), {}, nullptr);
+        REQUIRE(run_until(context, [&] { return to_peer.up(); }));
+        std::optional<reply> result;
+        to_peer.request({frame_type::forward_request, 0, "x"}, 10s,
+                        [&](reply it) { result = std::move(it); });
+        const auto start = std::chrono::steady_clock::now();
+        REQUIRE(run_until(context, [&] { return result.has_value(); }));
+        // The stated bound for telling a silent connection from a working one is 1 s.
+        CHECK(std::chrono::steady_clock::now() - start < 1s);
+        CHECK(result->failure == link_failure::lost);
+        CHECK(run_until(context, [&] { return peer.accepted >= 2 && to_peer.up(); }));
+    }
+    SUBCASE("a request that is not answered in time ends with a timeout") {
+        peer_server peer(context, listen_address, identity("b"), {}, [](const auto&, const frame&) {});
+        peer_link to_peer(context, listen_address, identity("a"), {}, nullptr);
+        REQUIRE(run_until(context, [&] { return to_peer.up(); }));
+        std::optional<reply> result;
+        to_peer.request({frame_type::forward_request, 0, "x"}, 50ms,
+                        [&](reply it) { result = std::move(it); });
+        REQUIRE(run_until(context, [&] { return result.has_value(); }));
+        CHECK(result->failure == link_failure::timeout);
+    }
+}
+
+TEST_CASE("datagrams reach the other channel and oversize ones are dropped") {
+    asio::io_context context;
+    std::string received;
+    datagram_channel b(context, {"127.0.0.1", 39412},
+                       [&](const endpoint_address&, std::string_view it) { received = it; });
+    datagram_channel a(context, {"127.0.0.1", 39413}, [](const endpoint_address&, std::string_view) {});
+    a.send({"127.0.0.1", 39412}, std::string(max_datagram_bytes + 1, 'x'));
+    a.send({"127.0.0.1", 39412}, "probe");
+    CHECK(run_until(context, [&] { return !received.empty(); }));
+    CHECK(received == "probe");
+}
