--- a/include/kingcupseam/ownership.h
+++ b/include/kingcupseam/ownership.h
@@ -188,6 +188,22 @@
 /// Restores the balance with the fewest moves; assigns gates, standbys and ledger groups evenly.
 std::unique_ptr<planner> make_fewest_moves_planner(planner_options settings);
 
+/// Largest relative rate between two clocks that leases allow for: 2,000 ppm. Crystals are off by up to 100
+/// ppm and time daemons slew by up to 500 ppm, on either side; the rest is reserve.
+inline constexpr std::int64_t clock_drift_divisor = 500;
+/// Time for a dispatched request to reach its upstream: one way inside a data centre is 1.5 ms at most, the
+/// rest covers queueing in sockets and threads.
+inline constexpr duration dispatch_time = std::chrono::milliseconds(10);
+
+/// Most that two clocks differ by after @p length, rounded up.
+constexpr duration clock_drift(duration length) {
+    return duration(length.count() / clock_drift_divisor + 1);
+}
+/// How long before the end of a lease of @p length dispatch stops.
+constexpr duration dispatch_margin(duration length) {
+    return clock_drift(length) + dispatch_time;
+}
+
 /// Grants from the view of the gate of one upstream: what to send, and until when the upstream may hold a
 /// live grant.
 class grant_issuer {
@@ -213,13 +229,19 @@
     /// Headers of a request renew the grant too. @returns the lease to state, or empty without a usable token
     std::optional<grant> renew_with_request(time_point now, time_point gate_lease_end);
 
-    void on_token(const std::string& token, time_point received);
+    /// @param requested when the request whose answer carried the token was sent; with it, may_dispatch()
+    /// does not count the time the answer took. Without it, @p received is used.
+    void on_token(const std::string& token, time_point received,
+                  std::optional<time_point> requested = std::nullopt);
+    /// Every grant of poll() is settled by exactly one of on_accepted, on_shards_missing, on_higher_epoch and
+    /// on_failure. Requests that carried a renewal are not settled here.
     void on_accepted(epoch_number epoch, epoch_number version, time_point now);
     void on_shards_missing(time_point now);
     void on_higher_epoch(epoch_number epoch, time_point now);
     void on_failure(time_point now);
 
-    /// True while the upstream surely holds a live grant of the assigned version; dispatch only then.
+    /// True while the upstream surely holds a live grant of the assigned version, less dispatch_margin();
+    /// dispatch only then.
     bool may_dispatch(time_point now) const;
     /// Latest time at which the upstream can hold a live grant from this gate.
     time_point may_live_until() const noexcept;
--- /dev/null
+++ b/tests/ownership/grant_test.cpp
@@ -0,0 +1,133 @@
+#include <doctest/doctest.h>
+
+#include <kingcupseam/ownership.h>
+
+using namespace kingcupseam;
+using namespace kingcupseam::ownership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+const auto never = time_point::max();
+const grant_holder::scope low_shards{{{0, 9}}, {"hot"}, {"moved"}};
+
+/// Hands one push to the holder and its answer back to the issuer.
+void exchange(grant_issuer& gate, grant_holder& upstream, time_point now, time_point gate_lease_end) {
+    const auto sent = gate.poll(now, gate_lease_end);
+    if (!sent) {
+        return;
+    }
+    std::optional<grant_holder::scope> granted;
+    if (sent->with_shards) {
+        granted = sent->revoke ? grant_holder::scope{} : low_shards;
+    }
+    const auto answer = upstream.receive(sent->epoch, sent->version, sent->lease, sent->token, granted, now);
+    REQUIRE(answer == grant_holder::reply::accepted);
+    gate.on_accepted(sent->epoch, sent->version, now);
+    gate.on_token(upstream.issue_token(now), now, now);
+}
+
+} // namespace
+
+TEST_CASE("a grant is live from the second push to the end of its lease") {
+    grant_issuer gate(600ms, 150ms);
+    grant_holder upstream(1);
+    gate.assign(5, 4);
+    exchange(gate, upstream, start, start + 10s);
+    CHECK_FALSE(gate.may_dispatch(start));
+    CHECK(upstream.check(5, 3, "k", start) == grant_refusal::no_lease);
+    exchange(gate, upstream, start, start + 10s);
+    CHECK(gate.may_dispatch(start));
+    CHECK(upstream.check(5, 3, "k", start) == grant_refusal::none);
+
+    SUBCASE("only granted keys run") {
+        CHECK(upstream.check(5, 30, "k", start) == grant_refusal::not_granted);
+        CHECK(upstream.check(5, 30, "hot", start) == grant_refusal::none);
+        CHECK(upstream.check(5, 3, "moved", start) == grant_refusal::not_granted);
+        CHECK(upstream.check(4, 3, "k", start) == grant_refusal::lower_epoch);
+    }
+    SUBCASE("dispatch stops before the lease ends, and the bound of the gate is not earlier than the "
+            "upstream's") {
+        CHECK_FALSE(gate.may_dispatch(start + 600ms - dispatch_margin(600ms)));
+        CHECK(gate.may_dispatch(start + 600ms - dispatch_margin(600ms) - 1us));
+        CHECK(gate.may_live_until() >= upstream.live_until());
+        CHECK(upstream.check(5, 3, "k", start + 600ms) == grant_refusal::no_lease);
+    }
+    SUBCASE("a revocation that is acknowledged ends the grant at once") {
+        gate.revoke(7);
+        CHECK_FALSE(gate.may_dispatch(start + 1ms));
+        CHECK_FALSE(gate.revoked(start + 1ms));
+        exchange(gate, upstream, start + 1ms, start + 10s);
+        CHECK(gate.revoked(start + 1ms));
+        CHECK(upstream.check(7, 3, "k", start + 1ms) != grant_refusal::none);
+    }
+    SUBCASE("a revocation without an answer ends when the grant has surely expired") {
+        gate.revoke(7);
+        CHECK(gate.poll(start + 1ms, start + 10s)->revoke);
+        gate.on_failure(start + 2ms);
+        CHECK(gate.failures() == 1);
+        CHECK_FALSE(gate.revoked(upstream.live_until()));
+        CHECK(gate.revoked(gate.may_live_until()));
+    }
+    SUBCASE("a higher epoch at the upstream ends dispatch of the former gate") {
+        gate.on_higher_epoch(9, start + 1ms);
+        CHECK_FALSE(gate.may_dispatch(start + 1ms));
+        CHECK_FALSE(gate.poll(start + 1s, start + 10s));
+    }
+}
+
+TEST_CASE("a grant that the network delays does not extend the lease") {
+    grant_holder upstream(2);
+    const auto token = upstream.issue_token(start);
+    CHECK(upstream.receive(5, 4, 600ms, token, low_shards, start + 500ms) == grant_holder::reply::accepted);
+    CHECK(upstream.live_until() == start + 600ms);
+    CHECK(upstream.receive(5, 4, 600ms, token, std::nullopt, start + 900ms) == grant_holder::reply::accepted);
+    CHECK(upstream.check(5, 3, "k", start + 900ms) == grant_refusal::no_lease);
+
+    SUBCASE("a token from before another start or older than a minute grants nothing") {
+        upstream.receive(5, 4, 600ms, "unknown", std::nullopt, start + 1s);
+        CHECK(upstream.live_until() == start + 600ms);
+        upstream.receive(5, 4, 600s, token, std::nullopt, start + 61s);
+        CHECK(upstream.live_until() == start + 600ms);
+    }
+}
+
+TEST_CASE("delayed grants of a lower epoch or version change nothing") {
+    grant_holder upstream(3);
+    const auto token = upstream.issue_token(start);
+    upstream.receive(8, 8, 600ms, token, grant_holder::scope{}, start);
+    CHECK(upstream.receive(7, 7, 600ms, token, low_shards, start) == grant_holder::reply::lower_epoch);
+    CHECK(upstream.receive(8, 7, 600ms, token, low_shards, start) == grant_holder::reply::lower_epoch);
+    CHECK(upstream.check(8, 3, "k", start) == grant_refusal::not_granted);
+    CHECK(upstream.receive(9, 9, 600ms, token, std::nullopt, start) == grant_holder::reply::shards_missing);
+    CHECK(upstream.epoch() == 9);
+    CHECK(upstream.version() == 8);
+    CHECK(upstream.receive(9, 8, 600ms, token, low_shards, start) == grant_holder::reply::lower_epoch);
+}
+
+TEST_CASE("no grant outlasts the lease of its gate") {
+    grant_issuer gate(600ms, 150ms);
+    grant_holder upstream(4);
+    gate.assign(5, 4);
+    exchange(gate, upstream, start, start + 200ms);
+    exchange(gate, upstream, start, start + 200ms);
+    CHECK(gate.may_live_until() <= start + 200ms);
+    CHECK(upstream.live_until() <= start + 200ms);
+    CHECK_FALSE(gate.poll(start + 200ms, start + 200ms));
+    CHECK(gate.may_live_until() <= start + 200ms);
+}
+
+TEST_CASE("requests renew only an accepted grant") {
+    grant_issuer gate(600ms, 150ms);
+    grant_holder upstream(5);
+    gate.assign(5, 4);
+    CHECK_FALSE(gate.renew_with_request(start, never));
+    exchange(gate, upstream, start, start + 10s);
+    exchange(gate, upstream, start, start + 10s);
+    REQUIRE(gate.renew_with_request(start + 10ms, start + 10s));
+    CHECK_FALSE(gate.renew_with_request(start + 10ms, start + 5ms));
+    gate.on_shards_missing(start + 20ms);
+    CHECK_FALSE(gate.may_dispatch(start + 20ms));
+    CHECK(gate.poll(start + 20ms, start + 10s)->with_shards);
+}
