--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -17,7 +17,7 @@
 
 # The Thrift code keeps the names of the IDL, so it is built without the project's warnings.
 if(TARGET kingcupseam_transport)
-  add_library(kingcupseam_generated STATIC src/generated/peer_types.cpp)
+  add_library(kingcupseam_generated STATIC src/generated/peer_types.cpp src/generated/state_types.cpp)
   target_include_directories(kingcupseam_generated SYSTEM PUBLIC src/generated)
   target_link_libraries(kingcupseam_generated PUBLIC PkgConfig::THRIFT)
   target_link_libraries(kingcupseam_transport PUBLIC kingcupseam_generated)
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -58,40 +58,25 @@
   5: i8 state
   6: i32 status
   7: binary answer
-  8: i64 retention_ms
-  9: string request_digest
+  8: string request_digest
 }
 
 struct LedgerRecordReply {
   1: bool accepted
   2: i64 sealed_epoch
-  3: i8 state
-  4: i32 status
-  5: binary answer
-  6: i64 attempt_epoch
+  3: optional LedgerRecord existing
 }
 
 struct LedgerSeal {
   1: string service_name
-  2: list<i32> shards
+  2: i32 shard
   3: i64 epoch
 }
 
-struct LedgerWindowEntry {
-  1: i32 shard
-  2: string idempotency_key
-  3: i64 epoch
-  4: i8 state
-  5: i32 status
-  6: binary answer
-  7: i64 remaining_ms
-  8: string request_digest
-}
-
 struct LedgerSealReply {
   1: bool accepted
   2: i64 sealed_epoch
-  3: list<LedgerWindowEntry> entries
+  3: list<LedgerRecord> window
 }
 
 struct LogEntry {
@@ -156,68 +141,84 @@
   8: i64 incarnation
 }
 
+struct KeyLoad {
+  1: string service_name
+  2: string key
+  3: double requests_per_second
+}
+
 struct UpstreamReport {
   1: string name
-  2: i8 health
-  3: i64 lease_left_us
-  4: i64 granted_version
-  5: i32 in_flight
+  2: i64 incarnation
+  3: i8 health
+  4: i64 lease_left_us
+  5: i64 granted_version
+  6: i32 in_flight
+}
+
+struct InstanceInfo {
+  1: string name
+  2: i64 incarnation
+  3: string data_center
+  4: string address
+  5: bool left
 }
 
 struct GateLeaseRequest {
-  1: Member gate
+  1: InstanceInfo gate
   2: i64 sequence
-  3: i64 table_version
-  4: list<UpstreamReport> reports
-  5: bool stopping
+  3: i64 generation
+  4: i64 table_version
+  5: list<UpstreamReport> reports
+  6: bool stopping
+  7: list<KeyLoad> hot_keys
 }
 
 struct GateLeaseReply {
   1: bool granted
   2: i64 sequence
   3: i64 lease_us
-  4: Member leader
+  4: string leader
+  5: i64 generation
 }
 
 struct TableUpdate {
   1: string data_center
-  2: i64 version
-  3: binary table
+  2: i64 generation
+  3: i64 version
+  4: binary table
 }
 
 struct TableRequest {
   1: string data_center
-  2: i64 known_version
-}
-
-struct ProfileUpdate {
-  1: string name
-  2: i64 version
-  3: binary content
-  4: string change_id
+  2: i64 known_generation
+  3: i64 known_version
 }
 
 struct StateRequest {
-  1: i64 known_global_version
+  1: i64 known_version
+  2: InstanceInfo sender
+  3: i64 known_instances
+  4: bool ungrouped
+  5: i64 generation
+  6: i32 data_center_size
 }
 
 struct StateReply {
-  1: i64 global_version
+  1: i64 version
   2: binary state
+  3: string leader
+  4: list<InstanceInfo> instances
 }
 
 struct CommandRequest {
-  1: i8 tier
-  2: string data_center
-  3: binary command
+  1: binary command
 }
 
 struct CommandReply {
   1: bool committed
-  2: i64 index
-  3: Member leader
-  4: string refusal
-  5: binary result
+  2: string leader
+  3: binary result
 }
 
 struct SuspectUpdate {
--- /dev/null
+++ b/idl/state.thrift
@@ -0,0 +1,39 @@
+// State of the global group and the commands that change it.
+namespace cpp kingcupseam.wire
+
+include "peer.thrift"
+
+struct GroupFormation {
+  1: string data_center
+  2: i64 generation
+  3: list<peer.Member> voters
+  4: binary table
+}
+
+struct ServiceHomes {
+  1: string service_name
+  2: list<string> data_centers
+  3: list<i16> homes
+}
+
+struct TableMirror {
+  1: string data_center
+  2: i64 generation
+  3: i64 version
+  4: binary table
+}
+
+struct GlobalState {
+  1: i64 version
+  2: binary profiles
+  3: map<string, GroupFormation> formations
+  4: map<string, ServiceHomes> homes
+  5: map<string, TableMirror> mirrors
+}
+
+struct GlobalCommand {
+  1: optional binary profile_change
+  2: optional GroupFormation formation
+  3: optional ServiceHomes homes
+  4: optional TableMirror mirror
+}
--- a/include/kingcupseam/transport.h
+++ b/include/kingcupseam/transport.h
@@ -31,7 +31,6 @@
     gate_lease_reply,
     table_update,
     table_request,
-    profile_update,
     state_request,
     state_reply,
     command_request,
--- /dev/null
+++ b/src/app/instance/entry.cpp
@@ -0,0 +1,218 @@
+#include "app/instance/entry.h"
+
+#include "app/instance/refusal_answer.h"
+
+#include <algorithm>
+
+namespace kingcupseam::app {
+
+namespace {
+
+// Wait between attempts while a key has no owner or a gate is being replaced; a tenth of the 100 ms that
+// assignment and grant may take after a loss.
+constexpr duration reroute_delay = std::chrono::milliseconds(10);
+// The gate answers at the deadline; the margin covers its way back.
+constexpr duration reply_margin = std::chrono::milliseconds(50);
+constexpr std::size_t max_idempotency_key = 128;
+
+bool valid_idempotency_key(const std::string& key) {
+    return !key.empty() && key.size() <= max_idempotency_key &&
+           std::all_of(key.begin(), key.end(), [](char it) { return it > ' ' && it < 0x7f; });
+}
+
+void pass_header(const http_request& from, const std::string& name, wire::ForwardRequest& to) {
+    if (auto value = from.header(name); !value.empty()) {
+        wire::HeaderField field;
+        field.name = name;
+        field.value = std::move(value);
+        to.headers.push_back(std::move(field));
+    }
+}
+
+} // namespace
+
+entry::entry(asio::io_context& context, const settings::instance_settings& settings,
+             std::uint64_t incarnation, const view_holder& views, metrics::registry& registry,
+             local_gate gate)
+    : context_(context), settings_(settings), views_(views), registry_(registry), gate_(std::move(gate)),
+      mesh_(context, {{settings.name, incarnation}, settings.data_center},
+            {settings.heartbeat_interval, settings.heartbeat_timeout}, [](const auto&, const auto&) {}) {
+    server_ = std::make_unique<http_server>(
+        context, http_server_options{settings.caller_listen},
+        [this](http_request request, http_reply reply) { handle(std::move(request), std::move(reply)); });
+}
+
+void entry::handle(http_request request, http_reply reply) {
+    if (stopping_) {
+        reply(refusal_answer(not_run(refusal::shutting_down, std::chrono::seconds(1))));
+        return;
+    }
+    const auto view = views_.load();
+    if (!view->rules || view->rules->empty()) {
+        reply(refusal_answer(not_run(refusal::no_profile, std::chrono::seconds(1))));
+        return;
+    }
+    const auto matched = view->rules->find(request.method, request.path());
+    if (!matched) {
+        reply(refusal_answer(not_run(refusal::no_rule)));
+        return;
+    }
+    const bool at_most_once = matched->matched->runs == execution::at_most_once;
+    const auto key = request.header("Idempotency-Key");
+    if (at_most_once && key.empty()) {
+        reply(refusal_answer(not_run(refusal::missing_idempotency_key)));
+        return;
+    }
+    if ((at_most_once && !valid_idempotency_key(key)) ||
+        request.body.size() > matched->matched->max_body_bytes) {
+        reply(refusal_answer(not_run(refusal::invalid_request)));
+        return;
+    }
+    ++in_progress_;
+    route(make_call(request, *matched, std::move(reply)));
+}
+
+entry::call_ptr entry::make_call(const http_request& request, const profile::match& matched,
+                                 http_reply reply) const {
+    auto it = std::make_shared<call>();
+    it->reply = std::move(reply);
+    it->arrived = steady_now();
+    it->deadline = it->arrived + matched.matched->deadline;
+    it->priority = matched.matched->priority;
+    it->request.service_name = matched.target->name;
+    it->request.shard = static_cast<std::int32_t>(shard_of(matched.key, matched.target->shards));
+    it->request.key = matched.key;
+    it->request.rank = static_cast<std::int8_t>(matched.matched->priority);
+    it->request.at_most_once = matched.matched->runs == execution::at_most_once;
+    it->request.method = request.method;
+    it->request.target = request.target;
+    it->request.body = request.body;
+    it->request.idempotency_key = request.header("Idempotency-Key");
+    pass_header(request, "Content-Type", it->request);
+    pass_header(request, "X-Crash", it->request);
+    return it;
+}
+
+void entry::route(const call_ptr& it) {
+    const time_point now = steady_now();
+    if (now >= it->deadline) {
+        finish(it, not_run(it->attempts == 0 ? it->last_refusal : refusal::deadline));
+        return;
+    }
+    const auto view = views_.load();
+    const auto* owner =
+        view->route(it->request.service_name, static_cast<std::uint32_t>(it->request.shard), it->request.key);
+    if (owner == nullptr || owner->gate.empty()) {
+        it->last_refusal = refusal::no_owner;
+        route_later(it);
+        return;
+    }
+    it->request.upstream = owner->name;
+    it->request.epoch = static_cast<std::int64_t>(owner->epoch);
+    it->request.deadline_us = (it->deadline - now).count();
+    if (settings_.routing == settings::routing_mode::direct) {
+        forward(it, settings_.name);
+        return;
+    }
+    const bool gate_down = owner->gate != settings_.name && it->attempts > 0 && !mesh_.up(owner->gate);
+    const bool use_standby = gate_down && !it->request.at_most_once && !owner->standby.empty();
+    it->request.to_standby = use_standby;
+    forward(it, use_standby ? owner->standby : owner->gate);
+}
+
+void entry::forward(const call_ptr& it, const std::string& instance) {
+    ++it->attempts;
+    if (instance == settings_.name) {
+        gate_(it->request, [this, it](const wire::ForwardResponse& response) { on_response(it, response); });
+        return;
+    }
+    const auto view = views_.load();
+    const auto known = view->instances.find(instance);
+    if (known == view->instances.end()) {
+        it->last_refusal = refusal::gate_unreachable;
+        route_later(it);
+        return;
+    }
+    mesh_.link_to(instance, traffic_address(known->second.address))
+        .request({transport::frame_type::forward_request, 0, transport::encode(it->request)},
+                 duration(it->request.deadline_us) + reply_margin,
+                 [this, it](const transport::reply& received) { on_reply(it, received); });
+}
+
+void entry::on_reply(const call_ptr& it, const transport::reply& received) {
+    if (received.answer) {
+        on_response(it, transport::decode<wire::ForwardResponse>(received.answer->payload));
+        return;
+    }
+    // The ledger makes it safe to forward at-most-once work again: a gate that finds the key begun answers
+    // `unknown`.
+    it->maybe_run = it->maybe_run || received.failure != transport::link_failure::not_sent;
+    it->last_refusal = it->maybe_run ? refusal::gate_lost : refusal::gate_unreachable;
+    route_later(it);
+}
+
+bool entry::worth_another_attempt(const call& it, const wire::ForwardResponse& response) const {
+    const auto result = static_cast<outcome>(response.outcome);
+    const auto reason = static_cast<refusal>(response.reason);
+    if (result == outcome::ran || steady_now() >= it.deadline) {
+        return false;
+    }
+    if (result == outcome::unknown) {
+        return !it.request.at_most_once && reason == refusal::upstream_failed;
+    }
+    return reason == refusal::stale_route || reason == refusal::shutting_down ||
+           reason == refusal::upstream_failed;
+}
+
+void entry::on_response(const call_ptr& it, const wire::ForwardResponse& response) {
+    if (worth_another_attempt(*it, response)) {
+        it->maybe_run = it->maybe_run || static_cast<outcome>(response.outcome) == outcome::unknown;
+        it->last_refusal = static_cast<refusal>(response.reason);
+        route_later(it);
+        return;
+    }
+    finish(it, response);
+}
+
+void entry::route_later(const call_ptr& it) {
+    auto timer = std::make_shared<asio::steady_timer>(context_, reroute_delay);
+    timer->async_wait([this, it, timer](const asio::error_code& ec) {
+        if (!ec) {
+            route(it);
+        }
+    });
+}
+
+void entry::finish(const call_ptr& it, const wire::ForwardResponse& response) {
+    wire::ForwardResponse answer = response;
+    if (it->maybe_run && static_cast<outcome>(answer.outcome) == outcome::not_run) {
+        // A lost attempt may have run, so `not-run` cannot be claimed any more.
+        answer.outcome = static_cast<std::int8_t>(outcome::unknown);
+    }
+    count(*it, answer);
+    --in_progress_;
+    it->reply(static_cast<outcome>(answer.outcome) == outcome::ran ? ran_answer(answer)
+                                                                   : refusal_answer(answer));
+}
+
+void entry::count(const call& it, const wire::ForwardResponse& response) {
+    const metrics::labels tags{{"service", it.request.service_name},
+                               {"rank", std::string(to_string(it.priority))}};
+    auto with_outcome = tags;
+    with_outcome["outcome"] = std::string(to_string(static_cast<outcome>(response.outcome)));
+    with_outcome["reason"] = std::string(to_string(static_cast<refusal>(response.reason)));
+    registry_.counter_of("kingcupseam_requests_total", "Requests answered, by outcome", with_outcome).add();
+    registry_
+        .histogram_of("kingcupseam_request_seconds", "Time from arrival at the entry to the answer", tags)
+        .record(static_cast<std::uint64_t>((steady_now() - it.arrived).count()));
+}
+
+void entry::start_stopping() {
+    stopping_ = true;
+}
+
+void entry::stop() {
+    server_->stop_accepting();
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/entry.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "app/http_server.h"
+#include "app/instance/gate_request.h"
+#include "app/instance/peer_mesh.h"
+
+#include <kingcupseam/admission.h>
+#include <kingcupseam/metrics.h>
+#include <kingcupseam/settings.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kingcupseam::app {
+
+/// The entry role of an instance: callers' requests are matched to a rule and forwarded to the gate of their
+/// key's owner. Lives on the entry thread.
+class entry {
+public:
+    /// Hands a request to the gate role of this instance; the reply comes back on the entry thread.
+    using local_gate = std::function<void(wire::ForwardRequest, gate_reply)>;
+
+    entry(asio::io_context& context, const settings::instance_settings& settings, std::uint64_t incarnation,
+          const view_holder& views, metrics::registry& registry, local_gate gate);
+
+    /// Refuses new requests; those in progress go on.
+    void start_stopping();
+    std::size_t in_progress() const noexcept { return in_progress_; }
+    void stop();
+
+private:
+    struct call {
+        wire::ForwardRequest request;
+        http_reply reply;
+        rank priority = rank::urgent;
+        time_point arrived;
+        time_point deadline;
+        bool maybe_run = false; ///< an attempt was lost after it may have reached its gate
+        refusal last_refusal = refusal::no_owner;
+        std::uint32_t attempts = 0;
+    };
+    using call_ptr = std::shared_ptr<call>;
+
+    void handle(http_request request, http_reply reply);
+    call_ptr make_call(const http_request& request, const profile::match& matched, http_reply reply) const;
+    void route(const call_ptr& it);
+    void forward(const call_ptr& it, const std::string& instance);
+    void on_reply(const call_ptr& it, const transport::reply& received);
+    void on_response(const call_ptr& it, const wire::ForwardResponse& response);
+    bool worth_another_attempt(const call& it, const wire::ForwardResponse& response) const;
+    void route_later(const call_ptr& it);
+    void finish(const call_ptr& it, const wire::ForwardResponse& response);
+    void count(const call& it, const wire::ForwardResponse& response);
+
+    asio::io_context& context_;
+    const settings::instance_settings& settings_;
+    const view_holder& views_;
+    metrics::registry& registry_;
+    local_gate gate_;
+    peer_mesh mesh_;
+    std::unique_ptr<http_server> server_;
+    std::size_t in_progress_ = 0;
+    std::uint64_t next_request_ = 1;
+    bool stopping_ = false;
+};
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/gate.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "app/instance/upstream_gate.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcupseam::app {
+
+/// The gate role of an instance: all upstreams that it gates, its ledger replica and the traffic listener.
+/// Lives on the gate thread.
+class gate {
+public:
+    gate(asio::io_context& context, const settings::instance_settings& settings, std::uint64_t incarnation,
+         const view_holder& views, metrics::registry& registry);
+
+    /// Forwards a request from this instance's entry or from another instance.
+    void submit(wire::ForwardRequest request, gate_reply reply);
+    void on_view_changed();
+    /// @param end until when this instance may act as a gate; set by the control thread
+    void set_lease_end(time_point end) noexcept { lease_end_.store(end.time_since_epoch().count()); }
+    /// Called every reporting interval with the state of all gated upstreams.
+    void on_reports(std::function<void(std::vector<wire::UpstreamReport>)> observer) {
+        observer_ = std::move(observer);
+    }
+    /// True when nothing waits or is in flight.
+    bool idle() const;
+    void stop();
+
+private:
+    void schedule_tick();
+    void tick();
+    void on_frame(const std::shared_ptr<transport::connection>& from, transport::frame received);
+    void on_forward(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
+    void share(const std::vector<admission::suspect_list::suspect>& changed);
+    upstream_gate* find(const std::string& upstream);
+    upstream_gate* direct_gate(const std::string& upstream);
+    time_point lease_end() const noexcept { return time_point(duration(lease_end_.load())); }
+
+    asio::io_context& context_;
+    const settings::instance_settings& settings_;
+    const view_holder& views_;
+    metrics::registry& registry_;
+    peer_mesh mesh_;
+    ledger_host ledger_;
+    admission::suspect_list suspects_;
+    gate_context shared_;
+    std::map<std::string, std::unique_ptr<upstream_gate>> upstreams_;
+    std::vector<std::unique_ptr<upstream_gate>> retiring_;
+    asio::steady_timer timer_;
+    std::unique_ptr<transport::peer_server> server_;
+    std::function<void(std::vector<wire::UpstreamReport>)> observer_;
+    std::atomic<std::int64_t> lease_end_{0};
+    bool stopped_ = false;
+};
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/grant_pusher.cpp
@@ -0,0 +1,143 @@
+#include "app/instance/grant_pusher.h"
+
+#include <nlohmann/json.hpp>
+
+#include <spdlog/spdlog.h>
+
+namespace kingcupseam::app {
+
+namespace {
+
+using nlohmann::json;
+
+json scope_json(const ownership::grant_holder::scope& granted) {
+    json ranges = json::array();
+    for (const auto& [first, last] : granted.shards) {
+        ranges.push_back({first, last});
+    }
+    return ranges;
+}
+
+void add_shard(ownership::grant_holder::scope& result, std::uint32_t shard) {
+    if (!result.shards.empty() && result.shards.back().second + 1 == shard) {
+        result.shards.back().second = shard;
+    } else {
+        result.shards.emplace_back(shard, shard);
+    }
+}
+
+} // namespace
+
+ownership::grant_holder::scope scope_of(const ownership::table& rows, std::uint32_t index) {
+    ownership::grant_holder::scope result;
+    const auto service = rows.services.find(rows.upstreams.at(index).service);
+    if (service == rows.services.end()) {
+        return result;
+    }
+    const auto owned = [&](const ownership::shard_row& row) {
+        return row.owner == index && row.next == ownership::no_upstream;
+    };
+    const auto& shards = service->second.shards;
+    for (std::uint32_t shard = 0; shard < shards.size(); ++shard) {
+        if (owned(shards[shard])) {
+            add_shard(result, shard);
+        }
+    }
+    for (const auto& [key, row] : service->second.hot_keys) {
+        const auto shard = shard_of(key, static_cast<std::uint32_t>(shards.size()));
+        if (owned(row)) {
+            result.hot_keys.insert(key);
+        } else if (owned(shards[shard])) {
+            result.moved_keys.insert(key);
+        }
+    }
+    return result;
+}
+
+grant_pusher::grant_pusher(asio::io_context& context, std::string address, duration lease, duration interval,
+                           observer callbacks)
+    : address_(std::move(address)), interval_(interval), callbacks_(std::move(callbacks)),
+      client_(context, {.max_connections_per_host = 4}), issuer_(lease, interval) {}
+
+grant_pusher::~grant_pusher() {
+    *alive_ = false;
+}
+
+void grant_pusher::assign(ownership::epoch_number epoch, ownership::epoch_number version,
+                          ownership::grant_holder::scope granted) {
+    scope_ = std::move(granted);
+    issuer_.assign(epoch, version);
+}
+
+void grant_pusher::push_due(time_point now, time_point gate_lease_end) {
+    if (const auto due = issuer_.poll(now, gate_lease_end)) {
+        push(*due);
+    }
+}
+
+void grant_pusher::push(const ownership::grant_issuer::grant& granted) {
+    json body{{"epoch", std::to_string(granted.epoch)},
+              {"version", std::to_string(granted.version)},
+              {"lease_ms", std::chrono::duration_cast<std::chrono::milliseconds>(granted.lease).count()},
+              {"token", granted.token}};
+    if (granted.with_shards || granted.revoke) {
+        body["shards"] = granted.revoke ? json::array() : scope_json(scope_);
+        body["hot_keys"] = granted.revoke ? json::array() : json(scope_.hot_keys);
+        body["moved_keys"] = json(scope_.moved_keys);
+    }
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + address_ + "/kcs/grant";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body.dump();
+    // A push that is not answered within an interval is repeated on another connection.
+    call.timeout = interval_;
+    call.connect_timeout = interval_;
+    client_.send(std::move(call), [this, alive = alive_, sent = steady_now()](const http_result& result) {
+        if (*alive) {
+            on_result(result, sent);
+        }
+    });
+}
+
+void grant_pusher::on_result(const http_result& result, time_point sent) {
+    const time_point now = steady_now();
+    if (result.failure != http_failure::none) {
+        issuer_.on_failure(now);
+        if (result.failure == http_failure::refused) {
+            callbacks_.on_refused(now);
+        }
+        return;
+    }
+    try {
+        on_answer(result.answer, sent, now);
+    } catch (const json::exception&) {
+        issuer_.on_failure(now);
+    }
+}
+
+void grant_pusher::on_answer(const http_response& answer, time_point sent, time_point now) {
+    const json body = json::parse(answer.body);
+    contacted_ = true;
+    if (body.contains("token")) {
+        issuer_.on_token(body.at("token").get<std::string>(), now, sent);
+    }
+    if (answer.status == 200) {
+        const auto version = std::stoull(body.at("version").get<std::string>());
+        acknowledged_ = version;
+        issuer_.on_accepted(std::stoull(body.at("epoch").get<std::string>()), version, now);
+    } else if (answer.status == 428) {
+        issuer_.on_shards_missing(now);
+    } else if (answer.status == 409) {
+        issuer_.on_higher_epoch(std::stoull(body.at("epoch").get<std::string>()), now);
+    } else {
+        issuer_.on_failure(now);
+        return;
+    }
+    callbacks_.on_answered(now);
+    if (body.contains("load")) {
+        callbacks_.on_load({body["load"].value("in_flight", 0U), body["load"].value("slots", 0U)});
+    }
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/ledger_host.cpp
@@ -0,0 +1,167 @@
+#include "app/instance/ledger_host.h"
+
+namespace kingcupseam::app {
+
+namespace {
+
+constexpr duration operation_timeout = std::chrono::milliseconds(200);
+
+wire::LedgerRecord to_wire(const ledger::record& source) {
+    wire::LedgerRecord result;
+    result.service_name = source.service;
+    result.shard = static_cast<std::int32_t>(source.shard);
+    result.idempotency_key = source.key;
+    result.epoch = static_cast<std::int64_t>(source.epoch);
+    result.state = static_cast<std::int8_t>(source.state);
+    result.status = source.status;
+    result.answer = source.answer;
+    result.request_digest = source.digest;
+    return result;
+}
+
+ledger::record from_wire(const wire::LedgerRecord& source) {
+    return {source.service_name,
+            static_cast<std::uint32_t>(source.shard),
+            source.idempotency_key,
+            static_cast<std::uint64_t>(source.epoch),
+            static_cast<ledger::record_state>(source.state),
+            source.status,
+            source.answer,
+            source.request_digest};
+}
+
+} // namespace
+
+ledger_host::ledger_host(std::string self, peer_mesh& mesh, const view_holder& views)
+    : self_(std::move(self)), mesh_(mesh), views_(views), replica_(ledger::replica_options{}),
+      writer_(operation_timeout) {}
+
+std::vector<std::string> ledger_host::replicas_of(std::uint32_t shard) const {
+    const auto view = views_.load();
+    const auto* table = view->local_table();
+    if (table == nullptr || table->ledger_groups.empty()) {
+        return {};
+    }
+    return table->ledger_groups[shard % table->ledger_groups.size()].replicas;
+}
+
+void ledger_host::begin(const ledger::record& wanted, ledger::writer::on_decision done) {
+    send(writer_.begin(wanted, replicas_of(wanted.shard), std::move(done), steady_now()));
+}
+
+void ledger_host::finish(const ledger::record& result) {
+    send(writer_.finish(
+        result, replicas_of(result.shard), [](bool) {}, steady_now()));
+}
+
+void ledger_host::abandon(const std::string& service, std::uint32_t shard, const std::string& key) {
+    writer_.abandon(service, shard, key);
+}
+
+void ledger_host::tick(time_point now) {
+    send(writer_.tick(now));
+}
+
+void ledger_host::send(std::vector<ledger::outgoing> messages) {
+    for (const auto& it : messages) {
+        if (it.write) {
+            send_write(it);
+        } else {
+            send_seal(it);
+        }
+    }
+}
+
+transport::peer_link* ledger_host::link_to(const std::string& replica) {
+    const auto view = views_.load();
+    const auto it = view->instances.find(replica);
+    return it == view->instances.end() ? nullptr
+                                       : &mesh_.link_to(replica, traffic_address(it->second.address));
+}
+
+void ledger_host::send_write(const ledger::outgoing& message) {
+    const time_point now = steady_now();
+    if (message.replica == self_) {
+        send(writer_.on_write_reply(message.operation, self_, replica_.write(*message.write, now), now));
+        return;
+    }
+    auto* const link = link_to(message.replica);
+    if (link == nullptr) {
+        send(writer_.on_replica_failed(message.operation, message.replica, now));
+        return;
+    }
+    link->request(
+        {transport::frame_type::ledger_record, 0, transport::encode(to_wire(*message.write))},
+        operation_timeout, [this, message](const transport::reply& it) {
+            const time_point received = steady_now();
+            if (!it.answer) {
+                send(writer_.on_replica_failed(message.operation, message.replica, received));
+                return;
+            }
+            const auto reply = transport::decode<wire::LedgerRecordReply>(it.answer->payload);
+            ledger::write_result result{reply.accepted, static_cast<std::uint64_t>(reply.sealed_epoch), {}};
+            if (reply.__isset.existing) {
+                result.existing = from_wire(reply.existing);
+            }
+            send(writer_.on_write_reply(message.operation, message.replica, result, received));
+        });
+}
+
+void ledger_host::send_seal(const ledger::outgoing& message) {
+    const time_point now = steady_now();
+    const auto& [service, shard] = *message.seal;
+    if (message.replica == self_) {
+        const auto result = replica_.seal(service, shard, message.epoch, now);
+        send(writer_.on_seal_reply(message.operation, self_, result, now));
+        return;
+    }
+    auto* const link = link_to(message.replica);
+    if (link == nullptr) {
+        send(writer_.on_replica_failed(message.operation, message.replica, now));
+        return;
+    }
+    wire::LedgerSeal seal;
+    seal.service_name = service;
+    seal.shard = static_cast<std::int32_t>(shard);
+    seal.epoch = static_cast<std::int64_t>(message.epoch);
+    link->request(
+        {transport::frame_type::ledger_seal, 0, transport::encode(seal)}, operation_timeout,
+        [this, message](const transport::reply& it) {
+            const time_point received = steady_now();
+            if (!it.answer) {
+                send(writer_.on_replica_failed(message.operation, message.replica, received));
+                return;
+            }
+            const auto reply = transport::decode<wire::LedgerSealReply>(it.answer->payload);
+            ledger::seal_result result{reply.accepted, static_cast<std::uint64_t>(reply.sealed_epoch), {}};
+            for (const auto& record : reply.window) {
+                result.window.push_back(from_wire(record));
+            }
+            send(writer_.on_seal_reply(message.operation, message.replica, result, received));
+        });
+}
+
+wire::LedgerRecordReply ledger_host::on_record(const wire::LedgerRecord& received) {
+    const auto result = replica_.write(from_wire(received), steady_now());
+    wire::LedgerRecordReply reply;
+    reply.accepted = result.accepted;
+    reply.sealed_epoch = static_cast<std::int64_t>(result.sealed_epoch);
+    if (result.existing) {
+        reply.__set_existing(to_wire(*result.existing));
+    }
+    return reply;
+}
+
+wire::LedgerSealReply ledger_host::on_seal(const wire::LedgerSeal& received) {
+    const auto result = replica_.seal(received.service_name, static_cast<std::uint32_t>(received.shard),
+                                      static_cast<std::uint64_t>(received.epoch), steady_now());
+    wire::LedgerSealReply reply;
+    reply.accepted = result.accepted;
+    reply.sealed_epoch = static_cast<std::int64_t>(result.sealed_epoch);
+    for (const auto& it : result.window) {
+        reply.window.push_back(to_wire(it));
+    }
+    return reply;
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/refusal_answer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "app/http_server.h"
+
+#include <kingcupseam/types.h>
+
+#include <peer_types.h>
+
+namespace kingcupseam::app {
+
+/// HTTP status of a request that was refused or whose outcome is unknown; docs/protocol.md lists them.
+int status_of(refusal reason);
+http_response refusal_answer(const wire::ForwardResponse& response);
+/// The upstream's answer, marked as run.
+http_response ran_answer(const wire::ForwardResponse& response);
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/upstream_faults.cpp
@@ -0,0 +1,124 @@
+#include "app/instance/upstream_gate.h"
+
+#include <nlohmann/json.hpp>
+
+#include <spdlog/spdlog.h>
+
+namespace kingcupseam::app {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration probe_timeout = std::chrono::milliseconds(300);
+constexpr duration silence_limit = std::chrono::milliseconds(250);
+
+} // namespace
+
+void upstream_gate::check_silence(time_point now) {
+    time_point oldest = now;
+    for (const auto& [ticket, request] : running_) {
+        if (request->in_flight) {
+            oldest = std::min(oldest, request->sent);
+        }
+    }
+    if (oldest == now || probe_in_progress_ || !health_.probe_due(oldest, now)) {
+        return;
+    }
+    probe_in_progress_ = true;
+    health_.on_probe_sent(now);
+    http_call call;
+    call.url = "http://" + row_.address + "/kcs/health";
+    call.timeout = probe_timeout;
+    call.connect_timeout = probe_timeout;
+    call.fresh_connection = true;
+    inspection_client_.send(std::move(call), [this, alive = alive_](const http_result& result) {
+        if (*alive) {
+            probe_in_progress_ = false;
+            on_probe_result(result);
+        }
+    });
+}
+
+void upstream_gate::on_probe_result(const http_result& result) {
+    const time_point now = steady_now();
+    if (result.failure == http_failure::refused) {
+        on_upstream_refused(now);
+    } else if (result.failure == http_failure::none) {
+        health_.on_probe_answered(now);
+        inspect_silent_calls(now);
+    }
+}
+
+void upstream_gate::inspect_silent_calls(time_point now) {
+    std::vector<gate_request_ptr> silent;
+    for (const auto& [ticket, request] : running_) {
+        if (request->in_flight && now - request->sent > silence_limit) {
+            silent.push_back(request);
+        }
+    }
+    for (const auto& request : silent) {
+        http_call call;
+        call.method = "POST";
+        call.url = "http://" + row_.address + "/kcs/cancel";
+        call.headers = {{"Content-Type", "application/json"}};
+        call.body = json{{"request_id", request->attempt_id}}.dump();
+        call.timeout = probe_timeout;
+        call.fresh_connection = true;
+        inspection_client_.send(std::move(call), [this, alive = alive_, request,
+                                                  attempt = request->attempt_id](const http_result& answer) {
+            if (!*alive || !request->in_flight || request->attempt_id != attempt ||
+                answer.failure != http_failure::none) {
+                return;
+            }
+            const auto body = json::parse(answer.answer.body, nullptr, false);
+            const auto state = body.is_object() ? body.value("state", "") : std::string();
+            if (state == "running" || state.empty()) {
+                return; // a slow request, not a silent connection
+            }
+            shared_.registry
+                .counter_of("kingcupseam_silent_connections_total",
+                            "Connections that went silent while new ones worked")
+                .add();
+            request->in_flight = false;
+            client_->cancel(request->call);
+            replace_client();
+            release(request, std::nullopt);
+            if (state == "finished") {
+                on_may_have_run(request, refusal::upstream_failed);
+            } else {
+                on_surely_not_run(request, refusal::upstream_failed, true);
+            }
+            pump();
+        });
+    }
+}
+
+void upstream_gate::replace_client() {
+    // Idle connections of the old pool may be silent as well, and each would cost a request the silence
+    // limit.
+    retired_clients_.push_back(std::move(client_));
+    client_ = std::make_unique<http_client>(
+        shared_.io, http_client::options{.max_connections_per_host = row_.connections});
+    constexpr std::size_t max_retired_clients = 4;
+    if (retired_clients_.size() > max_retired_clients) {
+        retired_clients_.erase(retired_clients_.begin());
+    }
+}
+
+void upstream_gate::on_upstream_refused(time_point now) {
+    health_.on_connect_refused(now);
+    if (recently_broken_.empty()) {
+        return;
+    }
+    // Connections broke and now nothing listens: the upstream died with these requests in flight.
+    std::vector<std::string> digests;
+    for (const auto& [digest, when] : recently_broken_) {
+        digests.push_back(digest);
+    }
+    recently_broken_.clear();
+    spdlog::warn("upstream died upstream={} requests_in_flight={}", row_.name, digests.size());
+    shared_.share_suspects(shared_.suspects.on_crash(digests, now));
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/upstream_gate.cpp
@@ -0,0 +1,219 @@
+#include "app/instance/upstream_gate.h"
+
+#include <kingcupseam/profile.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace kingcupseam::app {
+
+namespace {
+
+admission::queue_options queue_options_of(const ownership::upstream_row& row) {
+    admission::queue_options options;
+    options.slots = std::max(1U, row.slots);
+    return options;
+}
+
+std::array<admission::rank_policy, rank_count> rank_policies(const profile::profile& source) {
+    std::array<admission::rank_policy, rank_count> result;
+    for (std::size_t n = 0; n < rank_count; ++n) {
+        result[n] = {source.ranks[n].guaranteed_share, source.ranks[n].max_waiting};
+    }
+    return result;
+}
+
+std::unique_ptr<admission::queue> make_queue(settings::routing_mode mode,
+                                             const ownership::upstream_row& row) {
+    return mode == settings::routing_mode::gate
+               ? admission::make_priority_queue_with_shares(queue_options_of(row))
+               : admission::make_fifo_queue(queue_options_of(row));
+}
+
+} // namespace
+
+upstream_gate::upstream_gate(gate_context& shared, const ownership::upstream_row& row)
+    : shared_(shared), row_(row),
+      client_(std::make_unique<http_client>(
+          shared.io, http_client::options{.max_connections_per_host = row.connections})),
+      inspection_client_(shared.io, {.max_connections_per_host = 4}),
+      queue_(make_queue(shared.settings.routing, row)), retries_({}, row.incarnation),
+      health_({}, steady_now()),
+      grants_(shared.io, row.address, shared.settings.grant_lease, shared.settings.grant_interval,
+              {[](time_point) {}, [this](time_point now) { on_upstream_refused(now); },
+               [this](const grant_pusher::load_report& it) {
+                   health_.on_reported_load(it.in_flight, it.slots, steady_now());
+               }}) {}
+
+upstream_gate::~upstream_gate() {
+    *alive_ = false;
+}
+
+void upstream_gate::update(const ownership::table& rows, std::uint32_t index) {
+    const auto& next = rows.upstreams.at(index);
+    if (next.epoch != row_.epoch || next.version != row_.version || !grants_.contacted()) {
+        grants_.assign(next.epoch, next.version, scope_of(rows, index));
+    }
+    row_ = next;
+    handed_over_ = false;
+    const auto rules = shared_.views.load()->rules;
+    if (rules && rules != rules_) {
+        rules_ = rules;
+        if (const auto* profile = rules->profile_of(row_.service)) {
+            queue_->set_policy(rank_policies(*profile));
+        }
+    }
+    pump();
+}
+
+bool upstream_gate::may_dispatch(time_point now) const {
+    if (shared_.settings.routing == settings::routing_mode::direct) {
+        return true;
+    }
+    return !handed_over_ && now < shared_.lease_end() && grants_.issuer().may_dispatch(now);
+}
+
+bool upstream_gate::still_owner(const gate_request& request) const {
+    const auto view = shared_.views.load();
+    const auto* owner = view->route(request.wire.service_name, static_cast<std::uint32_t>(request.wire.shard),
+                                    request.wire.key);
+    return owner != nullptr && owner->name == row_.name;
+}
+
+void upstream_gate::submit(gate_request_ptr request) {
+    if (handed_over_ || !still_owner(*request)) {
+        request->answer(not_run(refusal::stale_route));
+        return;
+    }
+    const auto standing = shared_.suspects.standing_of(request->digest, request->arrived);
+    if (standing == admission::suspect_list::standing::refused) {
+        request->answer(not_run(refusal::crashes_upstreams));
+        return;
+    }
+    request->exclusive = standing == admission::suspect_list::standing::suspect;
+    if (request->wire.at_most_once) {
+        const auto duplicate = by_key_.find(request->wire.idempotency_key);
+        if (duplicate != by_key_.end()) {
+            if (duplicate->second->digest != request->digest) {
+                request->answer(not_run(refusal::invalid_request));
+                return;
+            }
+            std::move(request->waiters.begin(), request->waiters.end(),
+                      std::back_inserter(duplicate->second->waiters));
+            return;
+        }
+        by_key_.emplace(request->wire.idempotency_key, request);
+    }
+    retries_.on_fresh_request(request->arrived);
+    admit(request);
+    pump();
+}
+
+void upstream_gate::admit(const gate_request_ptr& request) {
+    const time_point now = steady_now();
+    request->ticket = next_ticket_++;
+    const admission::ticket ticket{request->ticket, request->priority(), request->arrived, request->deadline,
+                                   request->exclusive};
+    switch (queue_->admit(ticket, now)) {
+    case admission::admit_result::admitted:
+        waiting_.emplace(request->ticket, request);
+        break;
+    case admission::admit_result::queue_full:
+        finish(request, not_run(refusal::queue_full, std::chrono::seconds(1)));
+        break;
+    case admission::admit_result::deadline:
+        finish(request, not_run(refusal::deadline));
+        break;
+    }
+}
+
+void upstream_gate::pump() {
+    const time_point now = steady_now();
+    if (!may_dispatch(now)) {
+        return;
+    }
+    std::vector<admission::ticket> expired;
+    while (const auto ticket = queue_->next(now, expired)) {
+        const auto it = waiting_.find(ticket->id);
+        const auto request = it->second;
+        waiting_.erase(it);
+        running_.emplace(ticket->id, request);
+        start(request);
+    }
+    for (const auto& ticket : expired) {
+        const auto it = waiting_.find(ticket.id);
+        const auto request = it->second;
+        waiting_.erase(it);
+        finish(request, not_run(refusal::deadline));
+    }
+}
+
+void upstream_gate::expire(time_point now) {
+    std::vector<gate_request_ptr> expired;
+    for (const auto& [ticket, request] : waiting_) {
+        if (request->deadline <= now) {
+            expired.push_back(request);
+        }
+    }
+    for (const auto& request : expired) {
+        queue_->cancel(request->ticket);
+        waiting_.erase(request->ticket);
+        finish(request, not_run(refusal::deadline));
+    }
+}
+
+void upstream_gate::tick(time_point now) {
+    if (shared_.settings.routing == settings::routing_mode::gate || row_.gate == shared_.settings.name) {
+        if (!handed_over_) {
+            grants_.push_due(now, shared_.lease_end());
+        }
+    }
+    const auto usable = static_cast<std::uint32_t>(row_.slots * health_.slot_fraction(now));
+    queue_->set_slots(std::max(1U, usable));
+    expire(now);
+    check_silence(now);
+    std::erase_if(recently_broken_,
+                  [now](const auto& it) { return now - it.second > std::chrono::seconds(1); });
+    pump();
+}
+
+void upstream_gate::hand_over() {
+    handed_over_ = true;
+    queue_->drain();
+    const auto refused = std::exchange(waiting_, {});
+    for (const auto& [ticket, request] : refused) {
+        finish(request, not_run(refusal::stale_route));
+    }
+}
+
+void upstream_gate::finish(const gate_request_ptr& request, wire::ForwardResponse response) {
+    if (request->wire.at_most_once) {
+        const auto it = by_key_.find(request->wire.idempotency_key);
+        if (it != by_key_.end() && it->second == request) {
+            by_key_.erase(it);
+        }
+    }
+    if (request->may_have_run && response.outcome == static_cast<std::int8_t>(outcome::not_run)) {
+        response.outcome = static_cast<std::int8_t>(outcome::unknown);
+    }
+    request->answer(response);
+}
+
+wire::UpstreamReport upstream_gate::report(time_point now) const {
+    wire::UpstreamReport result;
+    result.name = row_.name;
+    result.incarnation = static_cast<std::int64_t>(row_.incarnation);
+    const auto verdict = health_.current(now);
+    const bool failed = verdict == admission::upstream_health::verdict::dead ||
+                        verdict == admission::upstream_health::verdict::frozen || grants_.failing();
+    result.health = static_cast<std::int8_t>(failed                ? reported_health::failed
+                                             : grants_.contacted() ? reported_health::serving
+                                                                   : reported_health::not_contacted);
+    result.lease_left_us = std::max<std::int64_t>(0, (grants_.issuer().may_live_until() - now).count());
+    result.granted_version = static_cast<std::int64_t>(grants_.acknowledged_version());
+    result.in_flight = static_cast<std::int32_t>(running_.size());
+    return result;
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/upstream_gate.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "app/http_client.h"
+#include "app/instance/gate_request.h"
+#include "app/instance/grant_pusher.h"
+#include "app/instance/ledger_host.h"
+
+#include <kingcupseam/admission.h>
+#include <kingcupseam/metrics.h>
+#include <kingcupseam/settings.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace kingcupseam::app {
+
+/// What all upstream gates of an instance share.
+struct gate_context {
+    asio::io_context& io;
+    const settings::instance_settings& settings;
+    const view_holder& views;
+    ledger_host& ledger;
+    admission::suspect_list& suspects;
+    metrics::registry& registry;
+    std::function<time_point()> lease_end; ///< end of this instance's gate lease
+    std::function<void(const std::vector<admission::suspect_list::suspect>&)> share_suspects;
+};
+
+/// Condition of an upstream as its gate reports it to the leader.
+enum class reported_health : std::int8_t { not_contacted, serving, failed };
+
+/// The gate of one upstream: its queue, its grant, its connections and its requests in flight.
+class upstream_gate {
+public:
+    upstream_gate(gate_context& shared, const ownership::upstream_row& row);
+    ~upstream_gate();
+    upstream_gate(const upstream_gate&) = delete;
+    upstream_gate& operator=(const upstream_gate&) = delete;
+
+    /// Takes over a newer row of the routing table.
+    void update(const ownership::table& rows, std::uint32_t index);
+    void submit(gate_request_ptr request);
+    void tick(time_point now);
+    /// Another instance is the gate now: refuses what waits; what is in flight ends by itself.
+    void hand_over();
+    bool idle() const noexcept { return running_.empty() && waiting_.empty(); }
+    wire::UpstreamReport report(time_point now) const;
+    const ownership::upstream_row& row() const noexcept { return row_; }
+
+private:
+    void admit(const gate_request_ptr& request);
+    void pump();
+    void expire(time_point now);
+    bool may_dispatch(time_point now) const;
+    bool still_owner(const gate_request& request) const;
+
+    void start(const gate_request_ptr& request);
+    void on_ledger_decision(const gate_request_ptr& request, const ledger::decision& decision);
+    void send(const gate_request_ptr& request);
+    http_call make_call(gate_request& request, time_point now);
+    void on_result(const gate_request_ptr& request, const http_result& result);
+    void on_answer(const gate_request_ptr& request, const http_response& answer);
+    void on_failure(const gate_request_ptr& request, http_failure failure);
+    void ask_for_outcome(const gate_request_ptr& request);
+    void on_surely_not_run(const gate_request_ptr& request, refusal reason, bool retry);
+    void on_may_have_run(const gate_request_ptr& request, refusal reason);
+    bool retry(const gate_request_ptr& request);
+    void release(const gate_request_ptr& request, std::optional<duration> service_time);
+    void finish(const gate_request_ptr& request, wire::ForwardResponse response);
+    ledger::record record_of(const gate_request& request, ledger::record_state state) const;
+
+    void check_silence(time_point now);
+    void on_probe_result(const http_result& result);
+    void inspect_silent_calls(time_point now);
+    void on_upstream_refused(time_point now);
+    void replace_client();
+
+    gate_context& shared_;
+    ownership::upstream_row row_;
+    std::unique_ptr<http_client> client_;
+    std::vector<std::unique_ptr<http_client>> retired_clients_;
+    http_client inspection_client_; ///< fresh connections for probes and cancellation
+    std::unique_ptr<admission::queue> queue_;
+    admission::retry_budget retries_;
+    admission::upstream_health health_;
+    grant_pusher grants_;
+    std::unordered_map<std::uint64_t, gate_request_ptr> waiting_; ///< by ticket
+    std::unordered_map<std::uint64_t, gate_request_ptr> running_; ///< by ticket
+    std::unordered_map<std::string, gate_request_ptr> by_key_; ///< at-most-once requests by idempotency key
+    std::map<std::string, time_point> recently_broken_;        ///< digests of attempts whose connection broke
+    std::uint64_t next_ticket_ = 1;
+    std::shared_ptr<const profile::rule_index> rules_;
+    bool probe_in_progress_ = false;
+    bool handed_over_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace kingcupseam::app
--- a/src/transport/codec.cpp
+++ b/src/transport/codec.cpp
@@ -1,6 +1,7 @@
 #include <kingcupseam/transport.h>
 
 #include <peer_types.h>
+#include <state_types.h>
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -66,13 +67,14 @@
 KINGCUPSEAM_WIRE_TYPE(GateLeaseReply)
 KINGCUPSEAM_WIRE_TYPE(TableUpdate)
 KINGCUPSEAM_WIRE_TYPE(TableRequest)
-KINGCUPSEAM_WIRE_TYPE(ProfileUpdate)
 KINGCUPSEAM_WIRE_TYPE(StateRequest)
 KINGCUPSEAM_WIRE_TYPE(StateReply)
 KINGCUPSEAM_WIRE_TYPE(CommandRequest)
 KINGCUPSEAM_WIRE_TYPE(CommandReply)
 KINGCUPSEAM_WIRE_TYPE(SuspectUpdate)
 KINGCUPSEAM_WIRE_TYPE(Saturation)
+KINGCUPSEAM_WIRE_TYPE(GlobalState)
+KINGCUPSEAM_WIRE_TYPE(GlobalCommand)
 
 #undef KINGCUPSEAM_WIRE_TYPE
 
