--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -23,7 +23,7 @@
   target_link_libraries(kingcupseam_transport PUBLIC kingcupseam_generated)
 endif()
 
-kingcupseam_library(app metrics statechart profile settings consensus membership ownership ledger admission transport)
+kingcupseam_library(app types metrics statechart profile settings consensus membership ownership ledger admission transport)
 if(TARGET kingcupseam_app)
   target_link_libraries(kingcupseam_app PUBLIC CURL::libcurl Boost::program_options fmt::fmt spdlog::spdlog http_parser)
   add_executable(kingcupseam src/main.cpp)
--- a/src/app/http_client.h
+++ b/src/app/http_client.h
@@ -29,7 +29,7 @@
     not_sent,  ///< the connection failed before any byte of the request was written
     timeout,   ///< no complete answer in time; the request may have been received
     broken,    ///< the connection failed after the request may have been received
-    cut_off,   ///< the answer was shorter than its Content-Length
+    cut_off,   ///< the answer was shorter than its Content-Length, or its length cannot be verified
     cancelled, ///< cancel() was called
 };
 
@@ -52,7 +52,8 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// @param done called exactly once on the io_context's thread
+    /// @param done called exactly once on the io_context's thread, unless the client is destroyed before
+    /// @throws invalid_input when the URL is not http:// or a header has a forbidden character
     /// @returns a number for cancel()
     std::uint64_t send(http_call call, std::function<void(http_result)> done);
     /// Ends a call; its connection is closed. No effect when it has ended.
--- /dev/null
+++ b/tests/support/raw_server.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <asio.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kingcupseam::test {
+
+/// TCP server on loopback whose connections do exactly what a test says, to produce faults of a peer.
+class raw_server {
+public:
+    struct connection : std::enable_shared_from_this<connection> {
+        explicit connection(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+
+        /// Reads one request with its body and passes it on; ends silently when the client closes.
+        void read_request(std::function<void(std::string)> then) {
+            auto self = shared_from_this();
+            asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n",
+                                   [self, then = std::move(then)](auto ec, std::size_t head) {
+                                       if (!ec) {
+                                           self->read_body(head, then);
+                                       }
+                                   });
+        }
+        void write(const std::string& text) {
+            asio::error_code ec;
+            asio::write(socket, asio::buffer(text), ec);
+        }
+        /// For texts that do not fit into the socket's buffer, since client and server share a thread.
+        void write_later(const std::string& text) {
+            auto copy = std::make_shared<std::string>(text);
+            asio::async_write(socket, asio::buffer(*copy), [copy, self = shared_from_this()](auto, auto) {});
+        }
+        void close() {
+            asio::error_code ec;
+            socket.close(ec);
+        }
+        /// Closes with RST, so the client's next write fails.
+        void reset() {
+            asio::error_code ec;
+            socket.set_option(asio::socket_base::linger(true, 0), ec);
+            socket.close(ec);
+        }
+
+        asio::ip::tcp::socket socket;
+        std::string received;
+
+    private:
+        void read_body(std::size_t head, const std::function<void(std::string)>& then) {
+            const auto at = received.find("Content-Length: ");
+            const std::size_t length = at < head ? std::stoul(received.substr(at + 16)) : 0;
+            const std::size_t missing = head + length > received.size() ? head + length - received.size() : 0;
+            auto self = shared_from_this();
+            asio::async_read(socket, asio::dynamic_buffer(received), asio::transfer_exactly(missing),
+                             [self, then, total = head + length](auto ec, std::size_t) {
+                                 if (!ec) {
+                                     std::string request = self->received.substr(0, total);
+                                     self->received.erase(0, total);
+                                     then(std::move(request));
+                                 }
+                             });
+        }
+    };
+    using connection_ptr = std::shared_ptr<connection>;
+    /// @p number counts the accepted connections from 1.
+    using behaviour = std::function<void(connection_ptr, int number)>;
+
+    raw_server(asio::io_context& context, behaviour on_connect)
+        : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}), on_connect_(std::move(on_connect)) {
+        accept();
+    }
+
+    std::string url(const std::string& path = "/") const {
+        return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) + path;
+    }
+    int accepted() const { return accepted_; }
+    void stop_listening() { acceptor_.close(); }
+
+private:
+    void accept() {
+        acceptor_.async_accept([this](auto ec, asio::ip::tcp::socket socket) {
+            if (!ec) {
+                held_.push_back(std::make_shared<connection>(std::move(socket)));
+                on_connect_(held_.back(), ++accepted_);
+                accept();
+            }
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    behaviour on_connect_;
+    std::vector<connection_ptr> held_; ///< a silent connection must stay open
+    int accepted_ = 0;
+};
+
+} // namespace kingcupseam::test
