--- a/src/app/http_client.h
+++ b/src/app/http_client.h
@@ -44,7 +44,7 @@
 public:
     struct options {
         std::size_t max_connections_per_host = 64;
-        std::size_t max_response_bytes = 8 * 1024 * 1024;
+        std::size_t max_response_bytes = 8UL * 1024 * 1024;
     };
 
     http_client(asio::io_context& context, options settings);
--- a/src/app/http_transfer.cpp
+++ b/src/app/http_transfer.cpp
@@ -97,7 +97,9 @@
 void http_transfer::set_headers() {
     curl_slist* list = nullptr;
     for (const auto& [name, value] : call_.headers) {
-        const std::string line = value.empty() ? name + ";" : name + ": " + value;
+        std::string line = name;
+        line += value.empty() ? ";" : ": "; // libcurl's form of a header without a value
+        line += value;
         list = curl_slist_append(list, line.c_str());
     }
     // A name without a value removes a header that libcurl would add by itself.
@@ -192,25 +194,24 @@
     }
 }
 
-bool http_transfer::on_header_line(std::string line) {
+void http_transfer::on_header_line(const std::string& line) {
     if (line.compare(0, 5, "HTTP/") == 0) { // also begins the final answer after an informational one
         answer_.headers.clear();
         headers_complete_ = false;
         length_known_ = false;
-        return true;
+        return;
     }
     const auto colon = line.find(':');
     if (colon == std::string::npos) {
         headers_complete_ = trimmed(line).empty();
-        return true;
+        return;
     }
     auto name = lower_case(trimmed(std::string_view(line).substr(0, colon)));
     if (headers_complete_) { // a trailer of a chunked body
-        return true;
+        return;
     }
     length_known_ = length_known_ || name == "content-length" || name == "transfer-encoding";
     answer_.headers.emplace_back(std::move(name), trimmed(std::string_view(line).substr(colon + 1)));
-    return true;
 }
 
 std::size_t http_transfer::on_header(char* data, std::size_t size, std::size_t count, void* self) {
@@ -220,7 +221,8 @@
     if (it.received_ > it.max_response_bytes_) {
         return 0; // libcurl then ends the transfer and closes the connection
     }
-    return it.on_header_line(std::string(data, n)) ? n : 0;
+    it.on_header_line(std::string(data, n));
+    return n;
 }
 
 std::size_t http_transfer::on_body(char* data, std::size_t size, std::size_t count, void* self) {
--- a/src/app/http_transfer.h
+++ b/src/app/http_transfer.h
@@ -61,7 +61,7 @@
     bool answer_is_complete() const;
     http_failure failure_before_sending() const;
     http_failure failure_after_sending(CURLcode code) const;
-    bool on_header_line(std::string line);
+    void on_header_line(const std::string& line);
 
     static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self);
     static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self);
--- a/tests/app/http_client_test.cpp
+++ b/tests/app/http_client_test.cpp
@@ -27,7 +27,7 @@
 
 struct fixture {
     asio::io_context context;
-    http_client client{context, {.max_connections_per_host = 64, .max_response_bytes = 1024 * 1024}};
+    http_client client{context, {.max_connections_per_host = 64, .max_response_bytes = 1024UL * 1024}};
 
     http_call call_to(const std::string& url, const std::string& body = "") {
         http_call call;
