Add the assignment state machine and its encodings

Epochs are log indexes below the generation, so they never repeat. A shard has no owner between begin_move and complete_move, and a new incarnation of an upstream gets a row of its own, so that grants of the former one are told apart.

--- a/include/kingcupseam/ownership.h
+++ b/include/kingcupseam/ownership.h
@@ -16,6 +16,13 @@
 
 using epoch_number = std::uint64_t;
 inline constexpr std::uint32_t no_upstream = 0xffffffff;
+/// Value of shard_row::next while this data centre is not the home of the shard.
+inline constexpr std::uint32_t leaving = 0xfffffffe;
+
+/// Epoch of a change: the generation of the group above 40 bits of log index.
+constexpr epoch_number make_epoch(std::uint64_t generation, std::uint64_t index) {
+    return (generation << 40U) | index;
+}
 
 /// Lifecycle of a registered upstream; charts/upstream.toml holds the transitions.
 enum class upstream_status : std::uint8_t { joining, active, draining, lost };
@@ -43,7 +50,9 @@
 struct shard_row {
     std::uint32_t owner = no_upstream;
     std::uint32_t next = no_upstream;
-    epoch_number epoch = 0; ///< log position of the last change of owner
+    /// Epoch of the last change of owner, or of the start of the move in progress. A live owner that has
+    /// accepted a version at or above it no longer runs the shard.
+    epoch_number epoch = 0;
     auto operator<=>(const shard_row&) const = default;
 };
 
@@ -73,9 +82,23 @@
     /// Row of the upstream that may run @p key now; null while the key has no owner or moves.
     const upstream_row* owner_of(const std::string& service, std::uint32_t shard,
                                  const std::string& key) const;
+    /// Row of the latest incarnation of @p upstream; null when there is none.
     const upstream_row* find(const std::string& upstream) const;
 };
 
+/// Shards as inclusive ranges and single keys, as a grant carries them.
+struct grant_scope {
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> shards;
+    std::set<std::string> hot_keys;
+    std::set<std::string> moved_keys;
+    bool operator==(const grant_scope&) const = default;
+    bool empty() const noexcept { return shards.empty() && hot_keys.empty(); }
+};
+
+/// What the gate of @p upstream grants under @p rows: nothing that moves, and nothing to an upstream that is
+/// lost.
+grant_scope scope_of(const table& rows, const upstream_row& upstream);
+
 /// Compact binary form (Thrift-free, versioned): a row of shards is run-length coded.
 std::string encode(const table& rows);
 /// @throws invalid_input
@@ -105,7 +128,7 @@
     std::string to;
 };
 /// The old grants have surely ended: the next owner becomes the owner. Ignored for shards that are not moving
-/// to @p to.
+/// to @p to, and while @p to is lost. An empty @p to takes the owner from shards that leave this data centre.
 struct complete_move {
     std::string service;
     std::vector<std::uint32_t> shards;
@@ -128,7 +151,9 @@
 /// @throws invalid_input
 command decode_command(const std::string& bytes);
 
-/// Deterministic state machine of a data centre group.
+/// Deterministic state machine of a data centre group. Commands that do not fit the table are ignored. An
+/// upstream that registers with another incarnation gets a new row; the old row stays as `lost` until it owns
+/// nothing.
 class assignment_state {
 public:
     assignment_state(std::string data_center, std::uint64_t generation);
@@ -141,7 +166,7 @@
     std::shared_ptr<const table> current() const;
 
 private:
-    std::shared_ptr<const table> table_;
+    std::shared_ptr<table> table_; ///< copied before a change while a reader holds it
 };
 
 /// Load seen on single keys during the last period, for moving hot keys.
@@ -172,7 +197,7 @@
     planner& operator=(const planner&) = delete;
     virtual ~planner() = default;
     /// Commands that bring @p rows closer to the goal; empty when nothing is to be done. Called on the leader
-    /// only.
+    /// only, and again only once the commands of the former plan are applied or known to be dropped.
     virtual std::vector<command> plan(const table& rows, const cluster_view& view, time_point now) = 0;
 };
 
@@ -260,12 +285,7 @@
 /// Grants from the view of the upstream. Embedded by upstreams; the stand-in uses it.
 class grant_holder {
 public:
-    struct scope {
-        std::vector<std::pair<std::uint32_t, std::uint32_t>> shards; ///< inclusive ranges
-        std::set<std::string> hot_keys;
-        std::set<std::string> moved_keys;
-        bool operator==(const scope&) const = default;
-    };
+    using scope = grant_scope;
     enum class reply : std::uint8_t { accepted, lower_epoch, shards_missing };
 
     explicit grant_holder(std::uint64_t seed);
--- /dev/null
+++ b/src/ownership/assignment_change.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <kingcupseam/ownership.h>
+
+namespace kingcupseam::ownership {
+
+/// Applies one command to a table. Returns false, with the table unchanged, for a command that does not fit.
+class assignment_change {
+public:
+    assignment_change(table& rows, epoch_number epoch) : rows_(rows), epoch_(epoch) {}
+
+    bool apply(const register_upstream& change);
+    bool apply(const set_condition& change);
+    bool apply(const set_gate& change);
+    bool apply(const begin_move& change);
+    bool apply(const complete_move& change);
+    bool apply(const set_homes& change);
+    bool apply(const set_ledger_group& change);
+
+private:
+    bool create_service(const register_upstream& change);
+    bool update_row(upstream_row& row, const upstream_row& announced);
+    void add_row(const upstream_row& announced);
+    std::uint32_t free_index() const;
+    /// Index of the latest incarnation, or no_upstream when it is lost or not of @p service.
+    std::uint32_t target(const std::string& service, const std::string& upstream) const;
+    void raise(std::uint32_t index);
+    bool begin(shard_row& row, std::uint32_t to);
+    bool begin_hot_key(service_rows& service, const std::string& key, std::uint32_t to);
+    bool complete(shard_row& row, std::uint32_t to);
+    bool complete_hot_key(service_rows& service, const std::string& key, std::uint32_t to);
+    bool leave(shard_row& row);
+    bool stay(shard_row& row);
+
+    table& rows_;
+    epoch_number epoch_;
+};
+
+} // namespace kingcupseam::ownership
--- /dev/null
+++ b/src/ownership/move_change.cpp
@@ -0,0 +1,158 @@
+#include "ownership/assignment_change.h"
+
+namespace kingcupseam::ownership {
+
+void assignment_change::raise(std::uint32_t index) {
+    if (index < rows_.upstreams.size()) {
+        rows_.upstreams[index].epoch = epoch_;
+        rows_.upstreams[index].version = epoch_;
+    }
+}
+
+std::uint32_t assignment_change::target(const std::string& service, const std::string& upstream) const {
+    for (std::uint32_t n = 0; n < rows_.upstreams.size(); ++n) {
+        const auto& row = rows_.upstreams[n];
+        if (row.name == upstream && row.service == service && row.condition != upstream_status::lost) {
+            return n;
+        }
+    }
+    return no_upstream;
+}
+
+// A move in progress that gets another target keeps its epoch: what the owner acknowledged stays
+// acknowledged.
+bool assignment_change::begin(shard_row& row, std::uint32_t to) {
+    const bool moving = row.next != no_upstream;
+    if (row.next == leaving || row.next == to || (!moving && row.owner == to)) {
+        return false;
+    }
+    row.next = to;
+    if (!moving) {
+        row.epoch = epoch_;
+        raise(row.owner);
+    }
+    return true;
+}
+
+// A key leaves its shard only while the shard rests, so that the key has the same former owner as the shard.
+bool assignment_change::begin_hot_key(service_rows& service, const std::string& key, std::uint32_t to) {
+    const auto known = service.hot_keys.find(key);
+    if (known != service.hot_keys.end()) {
+        return begin(known->second, to);
+    }
+    const auto& shard = service.shards[shard_of(key, static_cast<std::uint32_t>(service.shards.size()))];
+    if (shard.owner == no_upstream || shard.next != no_upstream || shard.owner == to) {
+        return false;
+    }
+    return begin(service.hot_keys.emplace(key, shard).first->second, to);
+}
+
+bool assignment_change::apply(const begin_move& change) {
+    const auto service = rows_.services.find(change.service);
+    const auto to = target(change.service, change.to);
+    if (service == rows_.services.end() || to == no_upstream) {
+        return false;
+    }
+    bool changed = false;
+    for (const auto shard : change.shards) {
+        if (shard < service->second.shards.size()) {
+            changed = begin(service->second.shards[shard], to) || changed;
+        }
+    }
+    for (const auto& key : change.hot_keys) {
+        changed = begin_hot_key(service->second, key, to) || changed;
+    }
+    return changed;
+}
+
+bool assignment_change::complete(shard_row& row, std::uint32_t to) {
+    if (row.next != to) {
+        return false;
+    }
+    if (to == leaving) {
+        const bool owned = row.owner != no_upstream;
+        row.owner = no_upstream;
+        row.epoch = owned ? epoch_ : row.epoch;
+        return owned;
+    }
+    row = {to, no_upstream, epoch_};
+    raise(to);
+    return true;
+}
+
+// A key that is back at the owner of its shard needs no row of its own.
+bool assignment_change::complete_hot_key(service_rows& service, const std::string& key, std::uint32_t to) {
+    const auto it = service.hot_keys.find(key);
+    if (it == service.hot_keys.end() || !complete(it->second, to)) {
+        return false;
+    }
+    const auto& shard = service.shards[shard_of(key, static_cast<std::uint32_t>(service.shards.size()))];
+    if (to == leaving || (shard.owner == to && shard.next == no_upstream)) {
+        service.hot_keys.erase(it);
+    }
+    return true;
+}
+
+bool assignment_change::apply(const complete_move& change) {
+    const auto service = rows_.services.find(change.service);
+    const auto to = change.to.empty() ? leaving : target(change.service, change.to);
+    if (service == rows_.services.end() || to == no_upstream) {
+        return false;
+    }
+    bool changed = false;
+    for (const auto shard : change.shards) {
+        if (shard < service->second.shards.size()) {
+            changed = complete(service->second.shards[shard], to) || changed;
+        }
+    }
+    for (const auto& key : change.hot_keys) {
+        changed = complete_hot_key(service->second, key, to) || changed;
+    }
+    return changed;
+}
+
+bool assignment_change::leave(shard_row& row) {
+    if (row.next == leaving) {
+        return false;
+    }
+    if (row.next == no_upstream) {
+        row.epoch = epoch_;
+        raise(row.owner);
+    }
+    row.next = leaving;
+    return true;
+}
+
+// A shard that comes back before its grant has ended moves to its own owner, which waits for that end.
+bool assignment_change::stay(shard_row& row) {
+    if (row.next != leaving) {
+        return false;
+    }
+    row.next = row.owner;
+    return true;
+}
+
+bool assignment_change::apply(const set_homes& change) {
+    const auto found = rows_.services.find(change.service);
+    if (found == rows_.services.end()) {
+        return false;
+    }
+    auto& service = found->second;
+    std::vector<bool> home(service.shards.size());
+    for (const auto shard : change.shards) {
+        if (shard < home.size()) {
+            home[shard] = true;
+        }
+    }
+    bool changed = false;
+    for (std::size_t n = 0; n < home.size(); ++n) {
+        changed = (home[n] ? stay(service.shards[n]) : leave(service.shards[n])) || changed;
+    }
+    for (auto& [key, row] : service.hot_keys) {
+        const auto shard = shard_of(key, static_cast<std::uint32_t>(home.size()));
+        changed = (home[shard] ? stay(row) : leave(row)) || changed;
+    }
+    return changed;
+}
+
+} // namespace kingcupseam::ownership
--- /dev/null
+++ b/src/ownership/register_change.cpp
@@ -0,0 +1,171 @@
+#include "ownership/assignment_change.h"
+
+#include <algorithm>
+
+namespace kingcupseam::ownership {
+
+namespace {
+
+constexpr std::uint32_t max_ledger_groups = 4096;
+
+bool transition_allowed(upstream_status from, upstream_status to) {
+    switch (from) {
+    case upstream_status::joining:
+        return to != upstream_status::joining;
+    case upstream_status::active:
+        return to == upstream_status::draining || to == upstream_status::lost;
+    case upstream_status::draining:
+        return to == upstream_status::active || to == upstream_status::lost;
+    case upstream_status::lost:
+        return false;
+    }
+    return false;
+}
+
+void mark_used(std::vector<bool>& used, const shard_row& row) {
+    for (const auto index : {row.owner, row.next}) {
+        if (index < used.size()) {
+            used[index] = true;
+        }
+    }
+}
+
+} // namespace
+
+bool assignment_change::create_service(const register_upstream& change) {
+    if (rows_.services.count(change.row.service) > 0) {
+        return true;
+    }
+    if (change.shards == 0) {
+        return false;
+    }
+    auto& shards = rows_.services[change.row.service].shards;
+    shards.resize(change.shards);
+    if (!change.homes.empty()) {
+        for (std::uint32_t n = 0; n < change.shards; ++n) {
+            shards[n].next = change.homes.count(n) > 0 ? no_upstream : leaving;
+        }
+    }
+    return true;
+}
+
+// A row that still owns something keeps its place, since its shards refer to it by index.
+std::uint32_t assignment_change::free_index() const {
+    std::vector<bool> used(rows_.upstreams.size());
+    for (const auto& [name, service] : rows_.services) {
+        for (const auto& it : service.shards) {
+            mark_used(used, it);
+        }
+        for (const auto& [key, it] : service.hot_keys) {
+            mark_used(used, it);
+        }
+    }
+    for (std::uint32_t n = 0; n < used.size(); ++n) {
+        if (!used[n] && rows_.upstreams[n].condition == upstream_status::lost) {
+            return n;
+        }
+    }
+    return static_cast<std::uint32_t>(used.size());
+}
+
+void assignment_change::add_row(const upstream_row& announced) {
+    const auto index = free_index();
+    if (index == rows_.upstreams.size()) {
+        rows_.upstreams.emplace_back();
+    }
+    auto& row = rows_.upstreams[index];
+    row = announced;
+    row.gate.clear();
+    row.standby.clear();
+    raise(index);
+}
+
+// A draining upstream becomes active only by announcing so: a delayed announcement must not end the draining.
+bool assignment_change::update_row(upstream_row& row, const upstream_row& announced) {
+    const upstream_row before = row;
+    row.address = announced.address;
+    row.slots = announced.slots;
+    row.connections = announced.connections;
+    row.checks_grants = announced.checks_grants;
+    if (row.condition == upstream_status::lost) {
+        row.condition = announced.condition;
+        row.epoch = epoch_;
+        row.version = epoch_;
+    } else if (transition_allowed(row.condition, announced.condition)) {
+        row.condition = announced.condition;
+    }
+    return row != before;
+}
+
+bool assignment_change::apply(const register_upstream& change) {
+    const auto& announced = change.row;
+    if (announced.name.empty() || announced.service.empty() || announced.slots == 0 ||
+        announced.condition == upstream_status::lost || !create_service(change)) {
+        return false;
+    }
+    bool known = false;
+    bool changed = false;
+    for (std::uint32_t n = 0; n < rows_.upstreams.size(); ++n) {
+        auto& row = rows_.upstreams[n];
+        if (row.name != announced.name) {
+            continue;
+        }
+        if (row.incarnation == announced.incarnation && row.service == announced.service) {
+            known = true;
+            changed = update_row(row, announced) || changed;
+        } else if (row.condition != upstream_status::lost) {
+            row.condition = upstream_status::lost;
+            raise(n);
+        }
+    }
+    if (!known) {
+        add_row(announced);
+    }
+    return changed || !known;
+}
+
+bool assignment_change::apply(const set_condition& change) {
+    for (std::uint32_t n = 0; n < rows_.upstreams.size(); ++n) {
+        auto& row = rows_.upstreams[n];
+        if (row.name == change.upstream && row.incarnation == change.incarnation &&
+            transition_allowed(row.condition, change.condition)) {
+            row.condition = change.condition;
+            if (change.condition == upstream_status::lost) {
+                raise(n);
+            }
+            return true;
+        }
+    }
+    return false;
+}
+
+bool assignment_change::apply(const set_gate& change) {
+    for (auto& row : rows_.upstreams) {
+        if (row.name != change.upstream || row.condition == upstream_status::lost ||
+            (row.gate == change.gate && row.standby == change.standby)) {
+            continue;
+        }
+        if (row.gate != change.gate) {
+            row.gate = change.gate;
+            row.epoch = epoch_;
+        }
+        row.standby = change.standby;
+        return true;
+    }
+    return false;
+}
+
+bool assignment_change::apply(const set_ledger_group& change) {
+    if (change.group >= max_ledger_groups) {
+        return false;
+    }
+    auto& groups = rows_.ledger_groups;
+    if (change.group < groups.size() && groups[change.group] == change.replicas) {
+        return false;
+    }
+    groups.resize(std::max<std::size_t>(groups.size(), change.group + 1));
+    groups[change.group] = change.replicas;
+    return true;
+}
+
+} // namespace kingcupseam::ownership
