--- /dev/null
+++ b/tests/settings/settings_test.cpp
@@ -0,0 +1,141 @@
+#include <doctest/doctest.h>
+
+#include <kingcupseam/config.h>
+#include <kingcupseam/error.h>
+#include <kingcupseam/settings.h>
+
+#include "support/failure.h"
+
+using namespace kingcupseam;
+using test::failure_of;
+
+namespace {
+
+const std::string minimal = "name = \"a1\"\n"
+                            "data_center = \"a\"\n"
+                            "peer_listen = \"127.0.0.1:7100\"\n"
+                            "caller_listen = \"127.0.0.1:7101\"\n"
+                            "upstream_listen = \"127.0.0.1:7102\"\n"
+                            "operator_listen = \"127.0.0.1:7103\"\n"
+                            "operator_token = \"0123456789abcdef\"\n";
+
+const std::string seed_b = "[[seeds]]\nname = \"b1\"\ndata_center = \"b\"\naddress = \"127.0.0.1:7200\"\n";
+
+settings::instance_settings parse(const std::string& text) {
+    return settings::parse_settings("node.toml", text);
+}
+
+std::string problem_with(const std::string& more) {
+    return failure_of([&] { parse(minimal + more); });
+}
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("an instance starts from a settings file") {
+    SUBCASE("the required keys alone give the documented defaults") {
+        const auto it = parse(minimal);
+        CHECK(it.name == "a1");
+        CHECK(it.caller_listen == endpoint_address{"127.0.0.1", 7101});
+        CHECK_FALSE(it.data_folder);
+        CHECK(it.grant_lease == std::chrono::milliseconds(600));
+        CHECK(it.routing == settings::routing_mode::gate);
+        CHECK(it.log == settings::log_format::text);
+        CHECK(it.log_level == "info");
+    }
+    SUBCASE("the shipped example is valid") {
+        const auto it = settings::load_settings(KINGCUPSEAM_SOURCE_DIR "/docs/example-settings.toml");
+        CHECK(it.global_voters.size() == 3);
+        CHECK(it.seeds[2].address.port == 7300);
+        CHECK(it.data_folder == "/var/lib/kingcupseam");
+    }
+    SUBCASE("every required key is missed by name") {
+        for (const char* key : {"name", "data_center", "peer_listen", "caller_listen", "upstream_listen",
+                                "operator_listen", "operator_token"}) {
+            std::string line("\n");
+            line.append(key);
+            const std::string message = failure_of([&] { parse(replaced("\n" + minimal, line, "\n#")); });
+            CHECK(message.rfind("node.toml: " + std::string(key) + ": is missing", 0) == 0);
+        }
+    }
+    SUBCASE("a file that does not exist is an I/O error, not an empty configuration") {
+        CHECK_THROWS_AS(settings::load_settings("/nonexistent/node.toml"), io_error);
+    }
+}
+
+TEST_CASE("a mistake in the settings is found before the instance serves") {
+    SUBCASE("a misspelt key names the one that was meant, also inside a seed") {
+        CHECK(problem_with("grant_lease = 600\n") ==
+              "node.toml: grant_lease: is not a known key; the nearest known key is grant_lease_ms");
+        CHECK(problem_with(replaced(seed_b, "address", "adress")).rfind("node.toml: seeds[0].address: ", 0) ==
+              0);
+        CHECK(problem_with(seed_b + "port = 1\n").rfind("node.toml: seeds[0].port: is not", 0) == 0);
+    }
+    SUBCASE("values out of range") {
+        for (const char* line :
+             {"grant_lease_ms = 49", "grant_lease_ms = 60001", "grant_lease_ms = 0.5",
+              "grant_interval_ms = 9", "heartbeat_interval_ms = 0", "heartbeat_timeout_ms = 60001",
+              "shutdown_grace_ms = -1", "data_center_size = 0", "routing = \"both\"", "log = \"xml\"",
+              "log_level = \"loud\"", "data_folder = \"\"", "global_voters = [1]", "seeds = 3"}) {
+            const std::string key(line, std::string_view(line).find(' '));
+            CHECK(problem_with(std::string(line) + "\n").rfind("node.toml: " + key + ": must be", 0) == 0);
+        }
+    }
+    SUBCASE("an address that is not an IPv4 number with a port") {
+        for (const char* address : {"localhost:7100", "127.0.0.1", "127.0.0.1:0", "[::1]:80", "1.2.3:80"}) {
+            const auto text = replaced(minimal, "127.0.0.1:7100", address);
+            CHECK(failure_of([&] { parse(text); }).rfind("node.toml: peer_listen: ", 0) == 0);
+        }
+    }
+    SUBCASE("a name or a token that would break a header or a path") {
+        CHECK(failure_of([&] { parse(replaced(minimal, "\"a1\"", "\"a 1\"")); }) ==
+              "node.toml: name: must consist of [A-Za-z0-9._-]");
+        CHECK(failure_of([&] {
+                  parse(replaced(minimal, "0123456789abcdef", "0123456789 abcdef"));
+              }).rfind("node.toml: operator_token: ", 0) == 0);
+        CHECK(failure_of([&] {
+                  parse(replaced(minimal, "0123456789abcdef", "short"));
+              }).rfind("node.toml: operator_token: ", 0) == 0);
+    }
+}
+
+TEST_CASE("settings that contradict each other are refused") {
+    SUBCASE("one lost renewal would end every grant") {
+        CHECK(problem_with("grant_interval_ms = 300\n").rfind("node.toml: grant_interval_ms: ", 0) == 0);
+        CHECK(problem_with("grant_interval_ms = 299\n") == "no failure");
+    }
+    SUBCASE("one late heartbeat would close every link") {
+        CHECK(problem_with("heartbeat_timeout_ms = 199\n").rfind("node.toml: heartbeat_timeout_ms: ", 0) ==
+              0);
+        CHECK(problem_with("heartbeat_timeout_ms = 200\n") == "no failure");
+    }
+    SUBCASE("a voter that no instance can find") {
+        CHECK(problem_with("global_voters = [\"b1\"]\n").rfind("node.toml: global_voters: ", 0) == 0);
+        CHECK(problem_with("global_voters = [\"b1\"]\n" + seed_b) == "no failure");
+        CHECK(problem_with("global_voters = [\"b1\", \"b1\"]\n" + seed_b) ==
+              "node.toml: global_voters: names 'b1' twice");
+    }
+    SUBCASE("an initial voter without a disk would forget its votes") {
+        CHECK(problem_with("global_voters = [\"a1\"]\n").rfind("node.toml: data_folder: is missing", 0) == 0);
+        CHECK(problem_with("global_voters = [\"a1\"]\ndata_folder = \"/data\"\n") == "no failure");
+    }
+    SUBCASE("two listeners on one port, and a peer address that nobody can dial") {
+        CHECK(failure_of([&] {
+                  parse(replaced(minimal, "7102", "7101"));
+              }).rfind("node.toml: upstream_listen: ", 0) == 0);
+        CHECK(failure_of([&] {
+                  parse(replaced(minimal, "127.0.0.1:7100", "0.0.0.0:7100"));
+              }).rfind("node.toml: peer_listen: ", 0) == 0);
+    }
+    SUBCASE("the seed list disagrees with the instance's own place or address") {
+        const auto own = replaced(seed_b, "b1", "a1");
+        CHECK(problem_with(own) ==
+              "node.toml: seeds: places this instance in another data centre than data_center");
+        CHECK(problem_with(replaced(own, "\"b\"", "\"a\"")) ==
+              "node.toml: seeds: gives this instance another address than peer_listen");
+        CHECK(problem_with(seed_b + seed_b) == "node.toml: seeds[1].name: is used by two seeds");
+    }
+}
