Add admission: queue with guaranteed shares, retry budget, suspects and upstream health

The queue serves by urgency and keeps a credit of slot time per rank, so each rank keeps its share in every second of a flood. set_slots takes a fraction, because a cold or degraded upstream uses part of a slot. A suspect record tells whether the request survived alone since its crash, so that a hot lookup that was only in flight beside a crash does not stay exclusive.

--- a/include/kingcupseam/admission.h
+++ b/include/kingcupseam/admission.h
@@ -50,13 +50,16 @@
     /// time.
     virtual admit_result admit(const ticket& request, time_point now) = 0;
     /// The next request to dispatch while a slot is free; requests whose deadline has passed go to @p
-    /// expired.
+    /// expired. Call it again after every arrival and end of a request, and on a timer: a fractional slot
+    /// becomes free by the passing of time alone.
     virtual std::optional<ticket> next(time_point now, std::vector<ticket>& expired) = 0;
     /// A dispatched request ended after @p service_time; empty when it did not run.
     virtual void finished(std::uint64_t id, std::optional<duration> service_time, time_point now) = 0;
     /// Removes a waiting request. @returns false when it is not waiting
     virtual bool cancel(std::uint64_t id) = 0;
-    virtual void set_slots(std::uint32_t slots) = 0;
+    /// @param slots effective slots; a fraction is used as a share of the time of one more slot, and with 0
+    /// nothing is dispatched
+    virtual void set_slots(double slots) = 0;
     virtual void set_policy(const std::array<rank_policy, rank_count>& ranks) = 0;
     virtual std::uint32_t running() const noexcept = 0;
     virtual std::uint32_t waiting(rank value) const noexcept = 0;
@@ -101,6 +104,7 @@
     struct suspect {
         std::string digest;
         std::uint32_t crashes = 0;
+        bool survived = false; ///< ran alone since the last crash; it runs normally until it crashes again
         time_point expires;
         auto operator<=>(const suspect&) const = default;
     };
@@ -108,14 +112,14 @@
     explicit suspect_list(std::uint32_t crash_limit = 2, duration retention = std::chrono::minutes(10),
                           std::size_t max_suspects = 4096);
 
-    /// An upstream died with @p digests in flight. A lone request, or one that already was a suspect, is
-    /// charged with a crash; of several first-time requests each becomes a suspect without a charge that
-    /// could refuse it.
+    /// An upstream died with @p digests in flight. A lone request, or the only one that already was a
+    /// suspect, is charged with a crash. Any other gets at most one crash less than the limit, so a shared
+    /// crash makes a suspect but never refuses a request.
     /// @returns the records that changed, to be shared with the data centre
     std::vector<suspect> on_crash(const std::vector<std::string>& digests, time_point now);
-    /// A suspect ran alone and the upstream survived.
+    /// A suspect ran alone and the upstream survived. It keeps its crashes but runs normally again.
     std::optional<suspect> on_survived(const std::string& digest, time_point now);
-    /// Merges a record from another instance: the higher number of crashes wins.
+    /// Merges a record from another instance: the higher number of crashes wins, then `survived`.
     void merge(const suspect& other, time_point now);
     standing standing_of(const std::string& digest, time_point now) const;
 
--- /dev/null
+++ b/src/admission/suspect_list.cpp
@@ -0,0 +1,97 @@
+#include <kingcupseam/admission.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace kingcupseam::admission {
+
+struct suspect_list::state {
+    std::uint32_t crash_limit;
+    duration retention;
+    std::size_t max_suspects;
+    std::unordered_map<std::string, suspect> records;
+
+    suspect* find(const std::string& digest, time_point now) {
+        const auto it = records.find(digest);
+        return it == records.end() || it->second.expires <= now ? nullptr : &it->second;
+    }
+    /// Makes room by dropping expired records first, then the one with the fewest crashes that expires first.
+    void make_room(time_point now) {
+        if (records.size() < max_suspects) {
+            return;
+        }
+        std::erase_if(records, [&](const auto& it) { return it.second.expires <= now; });
+        if (records.size() < max_suspects) {
+            return;
+        }
+        const auto weaker = [](const auto& a, const auto& b) {
+            return std::tie(a.second.crashes, a.second.expires) <
+                   std::tie(b.second.crashes, b.second.expires);
+        };
+        records.erase(std::min_element(records.begin(), records.end(), weaker));
+    }
+    /// The retention counts from the receipt, because clocks of instances differ.
+    suspect store(suspect wanted, time_point now) {
+        if (!records.contains(wanted.digest)) {
+            make_room(now);
+        }
+        wanted.expires = now + retention;
+        return records[wanted.digest] = wanted;
+    }
+};
+
+suspect_list::suspect_list(std::uint32_t crash_limit, duration retention, std::size_t max_suspects)
+    : state_(std::make_shared<state>(
+          state{std::max(crash_limit, 1U), retention, std::max<std::size_t>(max_suspects, 1), {}})) {}
+
+std::vector<suspect_list::suspect> suspect_list::on_crash(const std::vector<std::string>& digests,
+                                                          time_point now) {
+    std::vector<std::string> distinct(digests);
+    std::sort(distinct.begin(), distinct.end());
+    distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
+    const auto is_suspect = [&](const std::string& it) { return standing_of(it, now) != standing::clear; };
+    const auto suspects = std::count_if(distinct.begin(), distinct.end(), is_suspect);
+    std::vector<suspect> changed;
+    for (const auto& digest : distinct) {
+        const suspect* known = state_->find(digest, now);
+        const std::uint32_t before = known != nullptr ? known->crashes : 0;
+        const bool charged = distinct.size() == 1 || (suspects == 1 && is_suspect(digest));
+        const std::uint32_t limit = charged ? before + 1 : std::max(before, state_->crash_limit - 1);
+        changed.push_back(state_->store({digest, std::min(before + 1, limit), false, {}}, now));
+    }
+    return changed;
+}
+
+std::optional<suspect_list::suspect> suspect_list::on_survived(const std::string& digest, time_point now) {
+    suspect* known = state_->find(digest, now);
+    if (known == nullptr || known->survived || known->crashes >= state_->crash_limit) {
+        return std::nullopt;
+    }
+    known->survived = true;
+    return *known;
+}
+
+void suspect_list::merge(const suspect& other, time_point now) {
+    if (other.expires <= now) {
+        return;
+    }
+    const suspect* known = state_->find(other.digest, now);
+    if (known != nullptr && (known->crashes > other.crashes ||
+                             (known->crashes == other.crashes && (known->survived || !other.survived)))) {
+        return;
+    }
+    state_->store(other, now);
+}
+
+suspect_list::standing suspect_list::standing_of(const std::string& digest, time_point now) const {
+    const suspect* known = state_->find(digest, now);
+    if (known == nullptr) {
+        return standing::clear;
+    }
+    if (known->crashes >= state_->crash_limit) {
+        return standing::refused;
+    }
+    return known->survived ? standing::clear : standing::suspect;
+}
+
+} // namespace kingcupseam::admission
--- /dev/null
+++ b/tests/admission/flood.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <kingcupseam/admission.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace kingcupseam::test {
+
+using admission::queue;
+using admission::ticket;
+
+struct flood_load {
+    std::array<double, rank_count> per_second{};
+    std::array<duration, rank_count> patience{std::chrono::milliseconds(100), std::chrono::milliseconds(400),
+                                              std::chrono::seconds(1)};
+    double mean_service_us = 10'000;
+};
+
+struct flood_result {
+    std::vector<std::array<double, rank_count>> slot_seconds; ///< per second of virtual time
+    std::array<std::uint64_t, rank_count> offered{};
+    std::array<std::uint64_t, rank_count> in_time{};
+    std::array<std::uint64_t, rank_count> late{};
+    std::uint32_t most_running = 0;
+
+    double fraction_in_time(rank value) const {
+        const auto n = static_cast<std::size_t>(value);
+        return offered[n] == 0 ? 1.0 : double(in_time[n]) / double(offered[n]);
+    }
+    /// Smallest slot time of the rank in any second after the first two, per slot.
+    double smallest_share(rank value, double slots) const {
+        double least = 1;
+        for (std::size_t n = 2; n < slot_seconds.size(); ++n) {
+            least = std::min(least, slot_seconds[n][static_cast<std::size_t>(value)] / slots);
+        }
+        return least;
+    }
+    double mean_share(rank value, double slots) const {
+        double sum = 0;
+        for (std::size_t n = 2; n < slot_seconds.size(); ++n) {
+            sum += slot_seconds[n][static_cast<std::size_t>(value)];
+        }
+        return sum / slots / double(slot_seconds.size() - 2);
+    }
+};
+
+/// One upstream with a queue in front of it, under open-loop Poisson arrivals in virtual time.
+class flood_model {
+public:
+    flood_model(queue& tested, flood_load load, std::uint64_t seed) : queue_(tested), load_(load) {
+        for (std::size_t n = 0; n < rank_count; ++n) {
+            arrivals_[n].seed(seed * 31 + n);
+            services_[n].seed(seed * 37 + n);
+        }
+    }
+
+    flood_result run(int seconds) {
+        result_.slot_seconds.resize(static_cast<std::size_t>(seconds));
+        const time_point end = start_ + std::chrono::seconds(seconds);
+        for (std::size_t n = 0; n < rank_count; ++n) {
+            schedule(n, start_);
+        }
+        while (!events_.empty() && events_.begin()->first < end) {
+            const auto [now, it] = *events_.begin();
+            events_.erase(events_.begin());
+            it.arrival ? arrive(it.id, now) : end_request(it.id, now);
+            dispatch(now);
+        }
+        return result_;
+    }
+
+private:
+    struct event {
+        bool arrival = false;
+        std::uint64_t id = 0; ///< rank of an arrival, ticket of an end
+    };
+    struct running {
+        ticket request;
+        time_point started;
+    };
+
+    void schedule(std::size_t n, time_point from) {
+        if (load_.per_second[n] > 0) {
+            std::exponential_distribution<double> gap(load_.per_second[n] / 1e6);
+            events_.insert({from + duration(1 + std::int64_t(gap(arrivals_[n]))), {true, n}});
+        }
+    }
+    void arrive(std::size_t n, time_point now) {
+        const ticket request{++last_id_, all_ranks[n], now, now + load_.patience[n], false};
+        ++result_.offered[n];
+        queue_.admit(request, now);
+        schedule(n, now);
+    }
+    void end_request(std::uint64_t id, time_point now) {
+        const running it = running_.at(id);
+        running_.erase(id);
+        const auto n = static_cast<std::size_t>(it.request.priority);
+        ++(now <= it.request.deadline ? result_.in_time : result_.late)[n];
+        account(n, it.started, now);
+        queue_.finished(id, now - it.started, now);
+    }
+    void account(std::size_t n, time_point from, time_point to) {
+        while (from < to) {
+            const auto second = (from - start_) / std::chrono::seconds(1);
+            const time_point cut = std::min(to, start_ + std::chrono::seconds(second + 1));
+            if (std::size_t(second) < result_.slot_seconds.size()) {
+                result_.slot_seconds[std::size_t(second)][n] += double((cut - from).count()) / 1e6;
+            }
+            from = cut;
+        }
+    }
+    void dispatch(time_point now) {
+        std::vector<ticket> expired;
+        while (const auto chosen = queue_.next(now, expired)) {
+            const auto n = static_cast<std::size_t>(chosen->priority);
+            // Half fixed, half exponential, with one request in 500 that takes twenty times as long.
+            std::exponential_distribution<double> tail(2 / load_.mean_service_us);
+            double service = load_.mean_service_us / 2 + tail(services_[n]);
+            service *= services_[n]() % 500 == 0 ? 20 : 1;
+            running_[chosen->id] = {*chosen, now};
+            events_.insert({now + duration(std::int64_t(service)), {false, chosen->id}});
+            result_.most_running = std::max(result_.most_running, std::uint32_t(running_.size()));
+        }
+    }
+
+    queue& queue_;
+    flood_load load_;
+    std::array<std::mt19937_64, rank_count> arrivals_;
+    std::array<std::mt19937_64, rank_count> services_;
+    time_point start_{std::chrono::seconds(1)};
+    std::multimap<time_point, event> events_;
+    std::map<std::uint64_t, running> running_;
+    std::uint64_t last_id_ = 0;
+    flood_result result_;
+};
+
+} // namespace kingcupseam::test
--- /dev/null
+++ b/tests/admission/judgement_test.cpp
@@ -0,0 +1,177 @@
+#include <doctest/doctest.h>
+
+#include <kingcupseam/admission.h>
+
+using namespace kingcupseam;
+using namespace kingcupseam::admission;
+using namespace std::chrono_literals;
+using verdict = upstream_health::verdict;
+using standing = suspect_list::standing;
+
+namespace {
+const time_point start{100s};
+} // namespace
+
+TEST_CASE("retries are a bounded fraction of fresh work") {
+    retry_budget tested({0.1, 2, 5ms, 100ms, 3}, 1);
+    SUBCASE("a failing upstream does not multiply the load") {
+        int allowed = 0;
+        for (int n = 0; n < 1000; ++n) {
+            tested.on_fresh_request(start + 1ms * n);
+            allowed += tested.try_retry(1, start + 1h, start + 1ms * n).has_value() ? 1 : 0;
+        }
+        CHECK(allowed >= 95);
+        CHECK(allowed <= 102);
+    }
+    SUBCASE("a service with little work may retry, but cannot save up the minimum") {
+        int allowed = 0;
+        for (int n = 0; n < 50; ++n) {
+            allowed += tested.try_retry(1, start + 1h, start).has_value() ? 1 : 0;
+        }
+        CHECK(allowed == 2);
+        CHECK(tested.try_retry(1, start + 1h, start + 1s));
+    }
+    SUBCASE("fresh work older than the period gives no budget") {
+        for (int n = 0; n < 1000; ++n) {
+            tested.on_fresh_request(start);
+        }
+        int allowed = 0;
+        for (int n = 0; n < 100; ++n) {
+            allowed += tested.try_retry(1, start + 1h, start + 11s).has_value() ? 1 : 0;
+        }
+        CHECK(allowed == 2);
+    }
+    SUBCASE("neither the attempts nor the deadline are exceeded, and backoff grows with jitter") {
+        CHECK_FALSE(tested.try_retry(3, start + 1h, start));
+        CHECK_FALSE(tested.try_retry(1, start + 1ms, start));
+        const auto first = tested.try_retry(1, start + 1h, start);
+        const auto second = tested.try_retry(2, start + 1h, start);
+        REQUIRE(first);
+        REQUIRE(second);
+        CHECK(*first >= 2ms);
+        CHECK(*first <= 5ms);
+        CHECK(*second >= 5ms);
+        CHECK(*second <= 10ms);
+    }
+}
+
+TEST_CASE("a request that crashes upstreams is refused after two crashes") {
+    suspect_list tested(2, 10min, 4);
+    SUBCASE("a lone request is suspect after one crash and refused after two") {
+        CHECK(tested.on_crash({"a"}, start).at(0).crashes == 1);
+        CHECK(tested.standing_of("a", start) == standing::suspect);
+        tested.on_crash({"a"}, start + 1s);
+        CHECK(tested.standing_of("a", start + 1s) == standing::refused);
+        CHECK(tested.standing_of("a", start + 11min) == standing::clear);
+    }
+    SUBCASE("shared crashes never refuse a bystander, the second crash of a lone suspect does") {
+        tested.on_crash({"a", "b"}, start);
+        tested.on_crash({"a", "b"}, start);
+        tested.on_crash({"a", "b"}, start);
+        CHECK(tested.standing_of("b", start) == standing::suspect);
+        tested.on_crash({"a"}, start);
+        CHECK(tested.standing_of("a", start) == standing::refused);
+        CHECK(tested.on_survived("b", start)->survived);
+        CHECK(tested.standing_of("b", start) == standing::clear);
+    }
+    SUBCASE("surviving once does not forgive an earlier crash") {
+        tested.on_crash({"a"}, start);
+        tested.on_survived("a", start);
+        CHECK(tested.standing_of("a", start) == standing::clear);
+        tested.on_crash({"a"}, start);
+        CHECK(tested.standing_of("a", start) == standing::refused);
+        CHECK_FALSE(tested.on_survived("a", start));
+    }
+    SUBCASE("one known suspect among first-time requests is charged, the others are not refused") {
+        tested.on_crash({"a", "b"}, start);
+        tested.on_crash({"a", "c"}, start);
+        CHECK(tested.standing_of("a", start) == standing::refused);
+        CHECK(tested.standing_of("c", start) == standing::suspect);
+    }
+    SUBCASE("records of other instances merge in any order and twice") {
+        suspect_list other(2, 10min, 4);
+        const auto first = tested.on_crash({"a"}, start).at(0);
+        const auto cleared = *tested.on_survived("a", start);
+        other.merge(cleared, start);
+        other.merge(first, start);
+        CHECK(other.standing_of("a", start) == standing::clear);
+        const auto second = tested.on_crash({"a"}, start).at(0);
+        other.merge(second, start);
+        other.merge(cleared, start);
+        CHECK(other.standing_of("a", start) == standing::refused);
+    }
+    SUBCASE("when the list is full a refused request is kept and the weakest suspect goes") {
+        tested.on_crash({"bad"}, start);
+        tested.on_crash({"bad"}, start);
+        for (int n = 0; n < 10; ++n) {
+            tested.on_crash({"x" + std::to_string(n)}, start + 1s * n);
+        }
+        CHECK(tested.standing_of("bad", start + 10s) == standing::refused);
+        CHECK(tested.standing_of("x9", start + 10s) == standing::suspect);
+        CHECK(tested.standing_of("x0", start + 10s) == standing::clear);
+    }
+}
+
+TEST_CASE("health follows outcomes, and reports only lower it") {
+    upstream_health tested({}, start);
+    const time_point warm = start + 10s;
+    SUBCASE("a cold upstream ramps up") {
+        CHECK(tested.slot_fraction(start) < 0.3);
+        CHECK(tested.slot_fraction(start + 2500ms) > 0.5);
+        CHECK(tested.slot_fraction(warm) == doctest::Approx(1));
+    }
+    SUBCASE("good reports do not keep a failing upstream in service") {
+        for (int n = 0; n < 2; ++n) {
+            tested.on_connect_refused(warm);
+            tested.on_reported_load(0, 6, warm);
+        }
+        CHECK(tested.current(warm) == verdict::dead);
+        CHECK(tested.slot_fraction(warm) == 0);
+    }
+    SUBCASE("bad reports alone slow an upstream down but do not stop it, and they expire") {
+        tested.on_reported_load(5000, 0, warm);
+        tested.on_reported_unhealthy(warm);
+        CHECK(tested.current(warm) == verdict::degraded);
+        CHECK(tested.slot_fraction(warm) >= 0.5);
+        CHECK(tested.current(warm + 3s) == verdict::healthy);
+    }
+    SUBCASE("a probe on a new connection tells a lost connection from a frozen upstream") {
+        CHECK_FALSE(tested.probe_due(warm, warm + 100ms));
+        tested.on_answer(5ms, warm + 240ms);
+        CHECK(tested.probe_due(warm, warm + 250ms));
+        tested.on_probe_sent(warm + 250ms);
+        CHECK_FALSE(tested.probe_due(warm, warm + 260ms));
+        SUBCASE("answered: the old connection is lost") {
+            tested.on_probe_answered(warm + 260ms);
+            CHECK(tested.current(warm + 261ms) == verdict::suspect_connection);
+            CHECK(tested.slot_fraction(warm + 261ms) > 0.5);
+            CHECK_FALSE(tested.probe_due(warm, warm + 270ms));
+            CHECK(tested.probe_due(warm, warm + 600ms));
+        }
+        SUBCASE("silent: the upstream is frozen within 1 s and ramps up when it returns") {
+            CHECK(tested.current(warm + 600ms) == verdict::frozen);
+            CHECK(tested.slot_fraction(warm + 600ms) == 0);
+            tested.on_reported_load(0, 6, warm + 600ms);
+            CHECK(tested.current(warm + 600ms) == verdict::frozen);
+            tested.on_answer(5ms, warm + 5s);
+            CHECK(tested.current(warm + 5s) != verdict::frozen);
+            CHECK(tested.slot_fraction(warm + 5s) < 0.3);
+        }
+        SUBCASE("a late answer on an old connection while the probe is pending ends the doubt") {
+            tested.on_answer(300ms, warm + 300ms);
+            CHECK(tested.current(warm + 700ms) == verdict::healthy);
+        }
+    }
+    SUBCASE("failures lower the fraction and answers restore it") {
+        for (int n = 0; n < 20; ++n) {
+            tested.on_timeout(warm);
+        }
+        CHECK(tested.current(warm) == verdict::degraded);
+        CHECK(tested.slot_fraction(warm) == doctest::Approx(0.1));
+        for (int n = 0; n < 60; ++n) {
+            tested.on_answer(5ms, warm);
+        }
+        CHECK(tested.slot_fraction(warm) > 0.9);
+        CHECK(tested.current(warm) == verdict::healthy);
+    }
+}
