Add the storage library with a crash-tested file store

Checksums are seeded with the store's identity and the record's offset, so that bytes inside user data never pass as a record. A damaged record is a torn tail only when no intact record header follows it.

--- a/include/kingcupseam/storage.h
+++ b/include/kingcupseam/storage.h
@@ -68,6 +68,7 @@
     /// Entries from @p first, at least one when available and otherwise at most @p max_bytes of data.
     virtual std::vector<entry> entries(std::uint64_t first, std::size_t max_bytes) const = 0;
     /// @p batch continues the log without a gap.
+    /// @throws invalid_input otherwise
     virtual void append(std::span<const entry> batch) = 0;
     /// Removes all entries with a higher index than @p index.
     virtual void truncate_after(std::uint64_t index) = 0;
@@ -82,7 +83,7 @@
 std::unique_ptr<log_store> make_memory_log_store(std::uint64_t identity);
 
 /// Opens or creates a store in @p folder. A torn tail is cut.
-/// @throws corrupt_log, io_error
+/// @throws corrupt_log; io_error, also when another process has the folder open
 std::unique_ptr<log_store> open_file_log_store(const std::filesystem::path& folder);
 
 } // namespace kingcupseam::storage
--- /dev/null
+++ b/src/storage/file_log_store.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "storage/file_system.h"
+#include "storage/log_image.h"
+
+namespace kingcupseam::storage {
+
+/// Opens a store on any file system; open_file_log_store uses the POSIX one.
+std::unique_ptr<log_store> open_log_store_on(std::shared_ptr<file_system> files,
+                                             const std::filesystem::path& folder);
+
+} // namespace kingcupseam::storage
--- /dev/null
+++ b/tests/storage/fake_disk.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "storage/file_system.h"
+
+#include <kingcupseam/error.h>
+
+#include <cerrno>
+#include <map>
+#include <random>
+
+namespace kingcupseam::test {
+
+/// Power loss injected by fake_disk.
+struct crashed {};
+
+/// Disk with a page cache: bytes and names survive a crash for certain only after a sync. A crash keeps a
+/// random part of what was not synced, possibly damaged.
+class fake_disk final : public storage::file_system {
+public:
+    struct inode {
+        std::string current;
+        std::string durable;
+    };
+
+    int operations = 0;
+    int crash_at = -1;         ///< the operation with this number throws crashed
+    int fail_at = -1;          ///< from this operation on, writes fail with error_code
+    int fail_sync_at = -1;     ///< from this operation on, syncs fail with EIO
+    int error_code = ENOSPC;   ///< ENOSPC or EROFS
+    bool ignores_sync = false; ///< broken variant: fsync returns without writing
+    std::mt19937_64 random{1};
+
+    void create_folder(const std::filesystem::path&) override { step(); }
+    std::shared_ptr<void> lock_folder(const std::filesystem::path&) override {
+        return std::make_shared<int>(0);
+    }
+    void sync_folder(const std::filesystem::path& folder) override {
+        sync_step(folder.string());
+        if (!ignores_sync) {
+            durable_names_ = names_;
+        }
+    }
+    std::optional<std::string> read(const std::filesystem::path& file) override {
+        const auto it = names_.find(file.string());
+        return it == names_.end() ? std::nullopt : std::optional(it->second->current);
+    }
+    std::unique_ptr<storage::log_file> open(const std::filesystem::path& file, bool replace) override;
+    void rename(const std::filesystem::path& from, const std::filesystem::path& to) override {
+        write_step(to.string());
+        names_[to.string()] = names_.at(from.string());
+        names_.erase(from.string());
+    }
+
+    /// What a machine finds after power loss.
+    void lose_power() {
+        if (random() % 2 == 0) {
+            names_ = durable_names_;
+        }
+        for (auto& [name, node] : names_) {
+            node->current = surviving(*node);
+            node->durable = node->current;
+        }
+        durable_names_ = names_;
+        crash_at = fail_at = fail_sync_at = -1;
+    }
+
+    /// Direct access to a file's bytes, to damage them.
+    std::string& bytes(const std::string& name) { return names_.at(name)->current; }
+
+    void step() {
+        if (operations++ == crash_at) {
+            throw crashed{};
+        }
+    }
+    void write_step(const std::string& path) {
+        step();
+        if (fail_at >= 0 && operations > fail_at) {
+            throw io_error(path, "write", error_code);
+        }
+    }
+    void sync_step(const std::string& path) {
+        step();
+        if (fail_sync_at >= 0 && operations > fail_sync_at) {
+            throw io_error(path, "fsync", EIO);
+        }
+    }
+
+private:
+    std::string surviving(const inode& node) {
+        const bool appended = node.current.starts_with(node.durable);
+        if (!appended) {
+            return random() % 2 == 0 ? node.durable : node.current;
+        }
+        std::string result = node.current;
+        result.resize(node.durable.size() + random() % (node.current.size() - node.durable.size() + 1));
+        if (result.size() > node.durable.size() && random() % 2 == 0) {
+            const std::size_t at = node.durable.size() + random() % (result.size() - node.durable.size());
+            result[at] = static_cast<char>(~result[at]);
+        }
+        return result;
+    }
+
+    std::map<std::string, std::shared_ptr<inode>> names_;
+    std::map<std::string, std::shared_ptr<inode>> durable_names_;
+};
+
+class fake_file final : public storage::log_file {
+public:
+    fake_file(fake_disk& disk, std::shared_ptr<fake_disk::inode> node)
+        : disk_(disk), node_(std::move(node)) {}
+
+    void append(std::string_view bytes) override {
+        try {
+            disk_.write_step("log");
+        } catch (...) {
+            node_->current += bytes.substr(0, disk_.random() % (bytes.size() + 1));
+            throw;
+        }
+        node_->current += bytes;
+    }
+    void truncate(std::uint64_t size) override {
+        disk_.write_step("log");
+        node_->current.resize(size);
+    }
+    void sync() override {
+        disk_.sync_step("log");
+        if (!disk_.ignores_sync) {
+            node_->durable = node_->current;
+        }
+    }
+
+private:
+    fake_disk& disk_;
+    std::shared_ptr<fake_disk::inode> node_;
+};
+
+inline std::unique_ptr<storage::log_file> fake_disk::open(const std::filesystem::path& file, bool replace) {
+    write_step(file.string());
+    auto& node = names_[file.string()];
+    if (!node) {
+        node = std::make_shared<inode>();
+    }
+    if (replace) {
+        node->current.clear();
+    }
+    return std::make_unique<fake_file>(*this, node);
+}
+
+} // namespace kingcupseam::test
--- /dev/null
+++ b/tests/storage/storage_test.cpp
@@ -0,0 +1,161 @@
+#include <doctest/doctest.h>
+
+#include <kingcupseam/storage.h>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+using namespace kingcupseam;
+using namespace kingcupseam::storage;
+
+namespace {
+
+entry command(std::uint64_t index, std::uint64_t term, std::string data) {
+    return {index, term, entry_kind::command, std::move(data)};
+}
+
+std::vector<entry> commands(std::uint64_t first, std::uint64_t last, std::uint64_t term) {
+    std::vector<entry> result;
+    for (std::uint64_t n = first; n <= last; ++n) {
+        result.push_back(command(n, term, "command " + std::to_string(n)));
+    }
+    return result;
+}
+
+class temporary_folder {
+public:
+    temporary_folder() {
+        std::string name = (std::filesystem::temp_directory_path() / "kcs_storage_XXXXXX").string();
+        REQUIRE(mkdtemp(name.data()) != nullptr);
+        path = name;
+    }
+    temporary_folder(const temporary_folder&) = delete;
+    temporary_folder& operator=(const temporary_folder&) = delete;
+    ~temporary_folder() { std::filesystem::remove_all(path); }
+
+    std::filesystem::path path;
+};
+
+void check_log_rules(log_store& store) {
+    CHECK(store.last_index() == 0);
+    CHECK(store.first_index() == 1);
+    CHECK(store.term_at(0) == 0);
+    store.append(commands(1, 5, 1));
+    store.append(commands(6, 8, 2));
+    CHECK(store.last_index() == 8);
+    CHECK(store.term_at(5) == 1);
+    CHECK(store.term_at(6) == 2);
+    CHECK_FALSE(store.term_at(9).has_value());
+    CHECK_THROWS_AS(store.append(commands(10, 10, 2)), invalid_input);
+    CHECK(store.entries(1, 1).size() == 1);
+    CHECK(store.entries(1, 1 << 20).size() == 8);
+    CHECK(store.entries(9, 100).empty());
+    store.truncate_after(7);
+    CHECK(store.last_index() == 7);
+    store.save_snapshot({5, 1, "members", "state"});
+    CHECK(store.first_index() == 6);
+    CHECK(store.last_index() == 7);
+    CHECK(store.term_at(5) == 1);
+    CHECK_FALSE(store.term_at(4).has_value());
+    CHECK(store.entries(5, 100).empty());
+    // A snapshot that the log does not contain replaces it.
+    store.save_snapshot({7, 9, "members", "other"});
+    CHECK(store.first_index() == 8);
+    CHECK(store.last_index() == 7);
+    CHECK(store.term_at(7) == 9);
+}
+
+} // namespace
+
+TEST_CASE("both stores follow the same rules for logs and snapshots") {
+    SUBCASE("in memory") {
+        check_log_rules(*make_memory_log_store(7));
+    }
+    SUBCASE("in a folder") {
+        const temporary_folder folder;
+        check_log_rules(*open_file_log_store(folder.path));
+    }
+}
+
+TEST_CASE("a file store remembers everything it acknowledged") {
+    const temporary_folder folder;
+    std::uint64_t identity = 0;
+    {
+        auto store = open_file_log_store(folder.path / "deep" / "data");
+        identity = store->identity();
+        store->save_hard_state({4, "a#1"});
+        store->append(commands(1, 5, 3));
+        store->save_snapshot({2, 3, "members", "state"});
+        store->truncate_after(4);
+        store->append(commands(5, 6, 4));
+    }
+    auto store = open_file_log_store(folder.path / "deep" / "data");
+    CHECK(store->identity() == identity);
+    CHECK(store->load_hard_state() == hard_state{4, "a#1"});
+    CHECK(store->load_snapshot() == snapshot{2, 3, "members", "state"});
+    CHECK(store->first_index() == 3);
+    CHECK(store->last_index() == 6);
+    CHECK(store->term_at(4) == 3);
+    CHECK(store->term_at(5) == 4);
+
+    SUBCASE("a new folder gets another identity, so a lost disk is a new member") {
+        CHECK(open_file_log_store(folder.path / "other")->identity() != identity);
+    }
+    SUBCASE("a second process on the same folder is refused, since both would vote") {
+        CHECK_THROWS_AS(open_file_log_store(folder.path / "deep" / "data"), io_error);
+    }
+}
+
+TEST_CASE("damage to a log file is told apart from a torn write") {
+    const temporary_folder folder;
+    const auto file = folder.path / "log";
+    {
+        auto store = open_file_log_store(folder.path);
+        store->append(commands(1, 1, 1));
+        store->append(commands(2, 2, 1));
+        store->append(commands(3, 3, 1));
+    }
+    const auto size = std::filesystem::file_size(file);
+    const auto flip = [&](std::uint64_t at) {
+        std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
+        stream.seekg(static_cast<std::streamoff>(at));
+        const char byte = static_cast<char>(stream.get());
+        stream.seekp(static_cast<std::streamoff>(at));
+        stream.put(static_cast<char>(~byte));
+    };
+    SUBCASE("every cut inside the last record drops only that record") {
+        for (std::uint64_t cut = 1; cut < 20; ++cut) {
+            std::filesystem::resize_file(file, size - cut);
+            auto store = open_file_log_store(folder.path);
+            CHECK(store->last_index() == 2);
+            store->append(commands(3, 3, 1));
+        }
+    }
+    SUBCASE("a changed byte before the last record prevents the start, wherever it is") {
+        const std::uint64_t record = 28 + 1 + 25 + 9; // header, kind, fields of an entry, "command N"
+        for (std::uint64_t at = 0; at < size - record; ++at) {
+            flip(at);
+            CHECK_THROWS_AS(open_file_log_store(folder.path), corrupt_log);
+            flip(at);
+        }
+        CHECK(open_file_log_store(folder.path)->last_index() == 3);
+    }
+    SUBCASE("an empty file is damage, since creation renames a complete file into place") {
+        std::filesystem::resize_file(file, 0);
+        CHECK_THROWS_AS(open_file_log_store(folder.path), corrupt_log);
+    }
+}
+
+TEST_CASE("user data that looks like a record does not turn a torn tail into corruption") {
+    const temporary_folder folder;
+    const auto file = folder.path / "log";
+    auto store = open_file_log_store(folder.path);
+    store->append(commands(1, 3, 1));
+    std::ifstream stream(file, std::ios::binary);
+    const std::string content((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+    store->append(std::vector<entry>{command(4, 1, content)});
+    store.reset();
+    std::filesystem::resize_file(file, std::filesystem::file_size(file) - 1);
+    CHECK(open_file_log_store(folder.path)->last_index() == 3);
+}
