--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -127,7 +127,8 @@
   2: i64 sequence
   3: Member sender
   4: Member subject
-  5: list<MembershipChange> changes
+  5: string address
+  6: list<MembershipChange> changes
 }
 
 struct Announce {
@@ -172,6 +173,7 @@
   5: list<UpstreamReport> reports
   6: bool stopping
   7: list<KeyLoad> hot_keys
+  8: i64 applied_epoch
 }
 
 struct GateLeaseReply {
@@ -209,6 +211,16 @@
   2: binary state
   3: string leader
   4: list<InstanceInfo> instances
+  5: bool authoritative
+}
+
+struct VoterStatusRequest {
+  1: string sender
+}
+
+struct VoterStatusReply {
+  1: i64 identity
+  2: bool formed
 }
 
 struct CommandRequest {
@@ -224,7 +236,8 @@
 struct SuspectUpdate {
   1: string request_digest
   2: i32 crashes
-  3: i64 remaining_ms
+  3: bool survived
+  4: i64 remaining_ms
 }
 
 struct Saturation {
--- a/idl/state.thrift
+++ b/idl/state.thrift
@@ -37,3 +37,12 @@
   3: optional ServiceHomes homes
   4: optional TableMirror mirror
 }
+
+struct ProfileChangeResult {
+  1: i8 status
+  2: string name
+  3: i64 version
+  4: string content
+  5: string change_id
+  6: string problem
+}
--- a/include/kingcupseam/transport.h
+++ b/include/kingcupseam/transport.h
@@ -33,6 +33,8 @@
     table_request,
     state_request,
     state_reply,
+    voter_status_request,
+    voter_status_reply,
     command_request,
     command_reply,
     suspect_update,
--- /dev/null
+++ b/src/app/instance/control_context.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "app/instance/peer_mesh.h"
+#include "app/instance/routing_view.h"
+
+#include <kingcupseam/consensus.h>
+#include <kingcupseam/metrics.h>
+#include <kingcupseam/settings.h>
+
+#include <peer_types.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace kingcupseam::app {
+
+/// What the parts of the control thread share.
+struct control_context {
+    asio::io_context& io;
+    const settings::instance_settings& settings;
+    std::uint64_t incarnation = 0;
+    peer_mesh& mesh;
+    metrics::registry& registry;
+    std::map<std::string, instance_info> instances; ///< every instance that this one knows, itself included
+
+    /// Remembers an instance; a higher incarnation replaces a lower one. @returns true when something changed
+    bool learn(const instance_info& known);
+    /// Link to a known instance; null for an unknown one and for this instance itself.
+    transport::peer_link* link_to(const std::string& name);
+    instance_info self() const;
+};
+
+wire::InstanceInfo to_wire(const instance_info& source);
+/// @throws transport::malformed_frame
+instance_info from_wire(const wire::InstanceInfo& source);
+
+wire::ConsensusMessage to_wire(const consensus::message& source);
+consensus::message from_wire(const wire::ConsensusMessage& source);
+
+/// Group numbers: the global group has 1; a data centre's group has a hash of its name with the generation in the low
+/// bits, so that messages of an earlier generation are dropped.
+inline constexpr std::uint64_t global_group_number = 1;
+std::uint64_t group_number(const std::string& data_center, std::uint64_t generation);
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/data_center_leader.cpp
@@ -0,0 +1,317 @@
+// Duties of the leader of a data centre group: gate leases, registration, planning, mirroring and publication.
+#include "app/instance/data_center_tier.h"
+
+#include <kingcupseam/profile.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace kingcupseam::app {
+
+namespace {
+
+constexpr duration gate_lease = std::chrono::milliseconds(600);
+// Covers a clock that runs 0.5% fast and the rounding of times.
+constexpr duration drift_margin = std::chrono::milliseconds(5);
+constexpr duration plan_interval = std::chrono::milliseconds(40);
+// Two renewals every 150 ms may be missed before another instance takes over the gates.
+constexpr duration instance_lost_after = std::chrono::milliseconds(400);
+constexpr duration mirror_retry = std::chrono::seconds(1);
+
+} // namespace
+
+void data_center_tier::lead(time_point now) {
+    const bool leading = leads();
+    if (leading && !was_leader_) {
+        become_leader(now);
+    }
+    was_leader_ = leading;
+    if (!leading) {
+        return;
+    }
+    leader_ = shared_.settings.name;
+    if (now >= next_plan_) {
+        next_plan_ = now + plan_interval;
+        mirror_and_publish(now);
+        plan(now);
+        replace_voters(now);
+    }
+}
+
+void data_center_tier::become_leader(time_point now) {
+    spdlog::info("leading data centre group generation={} term={}", generation_, group_->node().term());
+    led_since_ = now;
+    contacts_.clear();
+    upstreams_.clear();
+    proposed_homes_.clear();
+    outstanding_ = 0;
+    mirroring_ = 0;
+    planner_ = ownership::make_fewest_moves_planner({});
+}
+
+bool data_center_tier::supported(time_point now) const {
+    // A new generation needs reports of a majority of the configured instances; together with this rule the two can
+    // never act at once, whatever part of the data centre is cut off.
+    const std::size_t size = std::max<std::size_t>(shared_.settings.data_center_size, 1);
+    const std::size_t needed = size - size / 2;
+    const auto recent = std::count_if(contacts_.begin(), contacts_.end(), [now](const auto& it) {
+        return now - it.second.last_request < gate_lease;
+    });
+    return static_cast<std::size_t>(recent) >= needed;
+}
+
+wire::GateLeaseReply data_center_tier::on_lease_request(const wire::GateLeaseRequest& request, time_point now) {
+    wire::GateLeaseReply reply;
+    reply.sequence = request.sequence;
+    reply.generation = static_cast<std::int64_t>(generation_);
+    reply.leader = leader_;
+    const auto info = from_wire(request.gate);
+    shared_.learn(info);
+    if (!leads() || static_cast<std::uint64_t>(request.generation) != generation_) {
+        return reply;
+    }
+    auto& contact = contacts_[info.name];
+    contact.info = info;
+    contact.last_request = now;
+    contact.stopping = request.stopping;
+    contact.table_version = request.table_version;
+    note_reports(request, now);
+    if (supported(now)) {
+        reply.granted = true;
+        reply.lease_us = gate_lease.count();
+        contact.lease_until = now + gate_lease + drift_margin;
+    }
+    return reply;
+}
+
+void data_center_tier::note_reports(const wire::GateLeaseRequest& request, time_point now) {
+    auto& gate = contacts_[request.gate.name];
+    gate.applied_epoch = static_cast<ownership::epoch_number>(request.applied_epoch);
+    gate.grants_live_until.clear();
+    for (const auto& it : request.reports) {
+        if (it.lease_left_us > 0) {
+            gate.grants_live_until[it.name] = now + duration(it.lease_left_us) + drift_margin;
+        }
+        const auto* row = machine_->current()->find(it.name);
+        if (row == nullptr || row->gate != request.gate.name ||
+            row->incarnation != static_cast<std::uint64_t>(it.incarnation)) {
+            continue;
+        }
+        auto& contact = upstreams_[it.name];
+        contact.reporting_gate = request.gate.name;
+        contact.incarnation = row->incarnation;
+        contact.health = it.health;
+        contact.acknowledged = static_cast<ownership::epoch_number>(it.granted_version);
+    }
+}
+
+time_point data_center_tier::grant_bound(const ownership::upstream_row& row) const {
+    // Grants of the former leader's gates end within the gate lease that it may have renewed until it lost its quorum.
+    time_point bound = led_since_ + gate_lease + drift_margin;
+    for (const auto& [name, it] : contacts_) {
+        const bool renews = row.gate == name && row.condition != ownership::upstream_status::lost;
+        if (renews || it.applied_epoch < row.epoch) {
+            // It may renew the grant, or may have done so since its last report, but never past its own lease.
+            bound = std::max(bound, it.lease_until);
+        } else if (const auto grant = it.grants_live_until.find(row.name); grant != it.grants_live_until.end()) {
+            bound = std::max(bound, grant->second);
+        }
+    }
+    return bound;
+}
+
+ownership::cluster_view data_center_tier::view_of(const ownership::table& rows, time_point now) const {
+    ownership::cluster_view view;
+    for (const auto& [name, it] : contacts_) {
+        if (!it.stopping && now - it.last_request < instance_lost_after) {
+            view.live_instances.insert(name);
+        }
+    }
+    for (const auto& row : rows.upstreams) {
+        view.grant_may_live_until[row.name] = grant_bound(row);
+        const auto it = upstreams_.find(row.name);
+        if (it != upstreams_.end() && it->second.incarnation == row.incarnation) {
+            view.acknowledged_version[row.name] = it->second.acknowledged;
+            view.joined_at[row.name] = it->second.joined_at;
+        }
+    }
+    return view;
+}
+
+void data_center_tier::plan(time_point now) {
+    if (outstanding_ > 0 || !supported(now)) {
+        return;
+    }
+    const auto rows = machine_->current();
+    plan_homes(*rows);
+    plan_conditions(*rows, now);
+    if (outstanding_ > 0) {
+        return;
+    }
+    for (const auto& it : planner_->plan(*rows, view_of(*rows, now), now)) {
+        propose(it);
+    }
+}
+
+void data_center_tier::plan_conditions(const ownership::table& rows, time_point now) {
+    for (const auto& row : rows.upstreams) {
+        const auto it = upstreams_.find(row.name);
+        if (rows.find(row.name) != &row || it == upstreams_.end() || it->second.incarnation != row.incarnation ||
+            it->second.reporting_gate != row.gate) {
+            continue;
+        }
+        const auto health = it->second.health;
+        if (row.condition == ownership::upstream_status::joining && health == 1) {
+            it->second.joined_at = now;
+            propose(ownership::set_condition{row.name, row.incarnation, ownership::upstream_status::active});
+        } else if (row.condition != ownership::upstream_status::lost && health == 2) {
+            spdlog::warn("upstream lost upstream={} gate={}", row.name, row.gate);
+            propose(ownership::set_condition{row.name, row.incarnation, ownership::upstream_status::lost});
+        }
+    }
+}
+
+void data_center_tier::plan_homes(const ownership::table& rows) {
+    for (const auto& [service, homes] : global_.state().homes) {
+        const auto it = proposed_homes_.find(service);
+        if (rows.services.count(service) == 0 || (it != proposed_homes_.end() && it->second == homes)) {
+            continue;
+        }
+        ownership::set_homes change{service, {}};
+        for (std::uint32_t shard = 0; shard < homes.homes.size(); ++shard) {
+            const auto home = static_cast<std::size_t>(homes.homes[shard]);
+            if (homes.data_centers.at(home) == shared_.settings.data_center) {
+                change.shards.push_back(shard);
+            }
+        }
+        proposed_homes_[service] = homes;
+        propose(change);
+    }
+}
+
+void data_center_tier::propose(const ownership::command& change) {
+    ++outstanding_;
+    const auto term = group_->node().term();
+    group_->propose(ownership::encode(change), [this, term](const auto&) {
+        if (outstanding_ > 0 && group_->node().term() == term) {
+            --outstanding_;
+        }
+    });
+}
+
+void data_center_tier::on_announce(const wire::Announce& announced, std::function<void(bool)> done) {
+    if (!leads()) {
+        auto* const link = shared_.link_to(leader_);
+        if (link == nullptr) {
+            done(false);
+            return;
+        }
+        link->request({transport::frame_type::announce, 0, transport::encode(announced)}, gate_lease,
+                      [done = std::move(done)](const transport::reply& it) {
+                          done(it.answer && transport::decode<wire::CommandReply>(it.answer->payload).committed);
+                      });
+        return;
+    }
+    const auto rows = machine_->current();
+    const auto* row = rows->find(announced.name);
+    ownership::register_upstream change;
+    change.row.name = announced.name;
+    change.row.incarnation = static_cast<std::uint64_t>(announced.incarnation);
+    change.row.service = announced.service_name;
+    change.row.address = announced.address;
+    change.row.slots = static_cast<std::uint32_t>(announced.slots);
+    change.row.connections = static_cast<std::uint32_t>(announced.connections);
+    change.row.checks_grants = announced.checks_grants;
+    change.row.condition =
+        announced.draining ? ownership::upstream_status::draining : ownership::upstream_status::joining;
+    const bool known = row != nullptr && row->incarnation == change.row.incarnation &&
+                       row->condition != ownership::upstream_status::lost && row->address == change.row.address &&
+                       announced.draining == (row->condition == ownership::upstream_status::draining);
+    const auto shards = shards_of(announced.service_name);
+    if (known || shards == 0) {
+        done(known);
+        return;
+    }
+    // No shard is at home here until the global group says so: the first index past the last shard marks that.
+    change.shards = shards;
+    change.homes = {shards};
+    group_->propose(ownership::encode(ownership::command(change)),
+                    [done = std::move(done)](const auto& result) { done(result.has_value()); });
+}
+
+std::uint32_t data_center_tier::shards_of(const std::string& service) const {
+    if (global_.state().profiles.empty()) {
+        return 0;
+    }
+    for (const auto& accepted : profile::store::decode(global_.state().profiles).all()) {
+        for (const auto& it : profile::parse_profile(accepted.name, accepted.content).services) {
+            if (it.name == service) {
+                return it.shards;
+            }
+        }
+    }
+    return 0;
+}
+
+void data_center_tier::mirror_and_publish(time_point now) {
+    const auto rows = machine_->current();
+    const bool newer = !published_ || published_->generation != rows->generation || published_->version < rows->version;
+    if (!newer || mirroring_ != 0) {
+        return;
+    }
+    if (now < mirror_unreachable_until_) {
+        publish(rows);
+        return;
+    }
+    mirroring_ = rows->version;
+    wire::TableMirror mirror;
+    mirror.data_center = shared_.settings.data_center;
+    mirror.generation = static_cast<std::int64_t>(generation_);
+    mirror.version = static_cast<std::int64_t>(rows->version);
+    mirror.table = ownership::encode(*rows);
+    global_.propose(encode_mirror(std::move(mirror)), [this, rows](const auto& result) {
+        mirroring_ = 0;
+        if (!result) {
+            // Cut off from the global group: the data centre goes on with its own group alone.
+            mirror_unreachable_until_ = steady_now() + mirror_retry;
+        }
+        if (leads() && rows->generation == generation_) {
+            publish(rows);
+        }
+    });
+}
+
+void data_center_tier::publish(std::shared_ptr<const ownership::table> rows) {
+    published_ = rows;
+    callbacks_.on_table(std::move(rows));
+    push_table();
+}
+
+void data_center_tier::push_table() {
+    const auto update = newer_table(0, 0);
+    const auto payload = transport::encode(*update);
+    for (const auto& [name, it] : contacts_) {
+        if (auto* const link = shared_.link_to(name)) {
+            link->notify({transport::frame_type::table_update, 0, payload});
+        }
+    }
+}
+
+void data_center_tier::replace_voters(time_point now) {
+    consensus::replacement_options options;
+    options.voters = std::min<std::size_t>(3, std::max<std::uint32_t>(shared_.settings.data_center_size, 1));
+    std::vector<consensus::member_id> spares;
+    for (const auto& [name, it] : contacts_) {
+        if (!it.stopping && now - it.last_request < instance_lost_after) {
+            spares.push_back({name, it.info.incarnation});
+        }
+    }
+    const auto view = consensus::replacement_view_of(group_->node(), group_->self(), std::move(spares), now);
+    if (const auto change = consensus::replacement_policy(options).next(view, now)) {
+        spdlog::info("changing voters member={} change={}", change->member.name, static_cast<int>(change->kind));
+        group_->change(*change);
+    }
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/data_center_tier.cpp
@@ -0,0 +1,200 @@
+#include "app/instance/data_center_tier.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace kingcupseam::app {
+
+namespace {
+
+// Two renewals may be lost before instances count as ungrouped and ask the global group for a new generation.
+constexpr duration ungrouped_after = std::chrono::milliseconds(1500);
+
+} // namespace
+
+assignment_machine::assignment_machine(const std::string& data_center, std::uint64_t generation,
+                                       const std::string& mirrored) {
+    if (mirrored.empty()) {
+        state_ = std::make_unique<ownership::assignment_state>(data_center, generation);
+        return;
+    }
+    auto rows = ownership::decode_table(mirrored);
+    rows.generation = generation;
+    state_ = std::make_unique<ownership::assignment_state>(std::move(rows));
+}
+
+std::string assignment_machine::apply(const std::string& command, std::uint64_t index) {
+    return state_->apply(ownership::decode_command(command), index) ? "changed" : "";
+}
+
+std::string assignment_machine::save() const {
+    return ownership::encode(*state_->current());
+}
+
+void assignment_machine::restore(const std::string& saved) {
+    state_ = std::make_unique<ownership::assignment_state>(ownership::decode_table(saved));
+}
+
+data_center_tier::data_center_tier(control_context& shared, global_tier& global, observer callbacks)
+    : shared_(shared), global_(global), callbacks_(std::move(callbacks)) {}
+
+void data_center_tier::on_global_state(const wire::GlobalState& state) {
+    const auto it = state.formations.find(shared_.settings.data_center);
+    if (it != state.formations.end() && static_cast<std::uint64_t>(it->second.generation) > generation_) {
+        join(it->second);
+    }
+}
+
+void data_center_tier::join(const wire::GroupFormation& formation) {
+    generation_ = static_cast<std::uint64_t>(formation.generation);
+    voters_.clear();
+    consensus::membership members;
+    for (const auto& it : formation.voters) {
+        voters_.push_back(it.name);
+        members.voters.push_back({it.name, static_cast<std::uint64_t>(it.incarnation)});
+    }
+    leader_.clear();
+    was_leader_ = false;
+    group_.reset();
+    machine_ = std::make_unique<assignment_machine>(shared_.settings.data_center, generation_, formation.table);
+    consensus::options options;
+    options.group = group_number(shared_.settings.data_center, generation_);
+    options.self = {shared_.settings.name, shared_.incarnation};
+    options.seed = shared_.incarnation;
+    auto store = storage::make_memory_log_store(shared_.incarnation);
+    const bool initial_voter =
+        std::find(members.voters.begin(), members.voters.end(), options.self) != members.voters.end();
+    if (initial_voter) {
+        consensus::node::bootstrap(*store, members);
+    }
+    spdlog::info("joined data centre group generation={} voter={}", generation_, initial_voter);
+    group_ = std::make_unique<replicated_group>(options, std::move(store), *machine_, [this](const auto& message) {
+        if (auto* const link = shared_.link_to(message.to.name)) {
+            link->notify({transport::frame_type::consensus_message, 0, transport::encode(to_wire(message))});
+        }
+    });
+}
+
+void data_center_tier::on_consensus_message(const consensus::message& received) {
+    if (group_) {
+        group_->receive(received);
+    }
+}
+
+void data_center_tier::on_gate_report(gate_report report) {
+    const auto health_of = [](const gate_report& source) {
+        std::map<std::string, std::int8_t> result;
+        for (const auto& it : source.upstreams) {
+            result[it.name] = it.health;
+        }
+        return result;
+    };
+    if (report.applied_epoch != report_.applied_epoch || health_of(report) != health_of(report_)) {
+        next_lease_request_ = steady_now();
+    }
+    report_ = std::move(report);
+}
+
+bool data_center_tier::ungrouped(time_point now) const {
+    return now - last_granted_ > ungrouped_after;
+}
+
+void data_center_tier::tick(time_point now) {
+    if (group_) {
+        group_->tick();
+        lead(now);
+    }
+    if (generation_ > 0 && now >= next_lease_request_) {
+        next_lease_request_ = now + shared_.settings.grant_interval;
+        request_lease(now);
+    }
+}
+
+std::string data_center_tier::lease_target() {
+    if (leads()) {
+        return shared_.settings.name;
+    }
+    if (!leader_.empty() && (leader_ == shared_.settings.name || shared_.link_to(leader_) != nullptr)) {
+        return leader_;
+    }
+    if (voters_.empty()) {
+        return {};
+    }
+    return voters_[next_candidate_++ % voters_.size()];
+}
+
+void data_center_tier::request_lease(time_point now) {
+    wire::GateLeaseRequest request;
+    request.gate = to_wire(shared_.self());
+    request.sequence = ++lease_sequence_;
+    request.generation = static_cast<std::int64_t>(generation_);
+    request.table_version = published_ && published_->generation == generation_
+                                ? static_cast<std::int64_t>(published_->version)
+                                : 0;
+    request.reports = report_.upstreams;
+    request.applied_epoch = static_cast<std::int64_t>(report_.applied_epoch);
+    request.stopping = stopping_;
+    const auto target = lease_target();
+    if (target == shared_.settings.name) {
+        on_lease_reply(target, on_lease_request(request, now), now);
+        return;
+    }
+    auto* const link = shared_.link_to(target);
+    if (link == nullptr) {
+        leader_.clear();
+        return;
+    }
+    link->request({transport::frame_type::gate_lease_request, 0, transport::encode(request)},
+                  shared_.settings.grant_interval, [this, target, now](const transport::reply& it) {
+                      if (it.answer) {
+                          on_lease_reply(target, transport::decode<wire::GateLeaseReply>(it.answer->payload), now);
+                      } else if (leader_ == target) {
+                          leader_.clear();
+                      }
+                  });
+}
+
+void data_center_tier::on_lease_reply(const std::string& from, const wire::GateLeaseReply& reply, time_point sent) {
+    if (static_cast<std::uint64_t>(reply.generation) != generation_) {
+        return;
+    }
+    if (!reply.granted) {
+        leader_ = reply.leader == from ? "" : reply.leader;
+        return;
+    }
+    leader_ = from;
+    last_granted_ = steady_now();
+    // The lease counts from the moment the request was sent, so it ends before the leader's record of it.
+    lease_end_ = std::max(lease_end_, sent + duration(reply.lease_us));
+    callbacks_.on_lease(lease_end_);
+}
+
+std::optional<wire::TableUpdate> data_center_tier::newer_table(std::int64_t generation, std::int64_t version) const {
+    if (!published_ || (static_cast<std::int64_t>(published_->generation) == generation &&
+                        static_cast<std::int64_t>(published_->version) <= version) ||
+        static_cast<std::int64_t>(published_->generation) < generation) {
+        return std::nullopt;
+    }
+    wire::TableUpdate update;
+    update.data_center = shared_.settings.data_center;
+    update.generation = static_cast<std::int64_t>(published_->generation);
+    update.version = static_cast<std::int64_t>(published_->version);
+    update.table = ownership::encode(*published_);
+    return update;
+}
+
+void data_center_tier::on_table_update(const wire::TableUpdate& update) {
+    if (update.data_center != shared_.settings.data_center || leads()) {
+        return;
+    }
+    auto rows = std::make_shared<const ownership::table>(ownership::decode_table(update.table));
+    const bool newer = !published_ || rows->generation > published_->generation ||
+                       (rows->generation == published_->generation && rows->version > published_->version);
+    if (newer) {
+        published_ = rows;
+        callbacks_.on_table(std::move(rows));
+    }
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/data_center_tier.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "app/instance/control_context.h"
+#include "app/instance/global_tier.h"
+#include "app/instance/replicated_group.h"
+
+#include <kingcupseam/ownership.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcupseam::app {
+
+/// State of this instance's gates, as the gate thread hands it to the control thread.
+struct gate_report {
+    std::vector<wire::UpstreamReport> upstreams;
+    ownership::epoch_number applied_epoch = 0; ///< of the routing table that the gates act on
+};
+
+/// State machine of a data centre group.
+class assignment_machine final : public state_machine {
+public:
+    assignment_machine(const std::string& data_center, std::uint64_t generation, const std::string& mirrored);
+    std::string apply(const std::string& command, std::uint64_t index) override;
+    std::string save() const override;
+    void restore(const std::string& saved) override;
+    std::shared_ptr<const ownership::table> current() const { return state_->current(); }
+
+private:
+    std::unique_ptr<ownership::assignment_state> state_;
+};
+
+/// What the leader of a data centre group knows of one instance or upstream; not replicated.
+struct instance_contact {
+    instance_info info;
+    time_point last_request;
+    time_point lease_until; ///< by this clock; the instance's own lease ends before
+    bool stopping = false;
+    std::int64_t table_version = 0;
+    ownership::epoch_number applied_epoch = 0; ///< of the table that its gates act on
+    std::map<std::string, time_point> grants_live_until; ///< by upstream, as last reported
+};
+struct upstream_contact {
+    std::string reporting_gate;
+    std::int8_t health = 0;
+    std::uint64_t incarnation = 0;
+    ownership::epoch_number acknowledged = 0;
+    time_point joined_at;
+};
+
+/// This instance's part in the group of its data centre: member of the log, leader duties while elected, and the gate
+/// lease that every instance renews with the leader.
+class data_center_tier {
+public:
+    struct observer {
+        std::function<void(std::shared_ptr<const ownership::table>)> on_table; ///< a published table
+        std::function<void(time_point)> on_lease;                             ///< end of this instance's gate lease
+    };
+
+    data_center_tier(control_context& shared, global_tier& global, observer callbacks);
+
+    void tick(time_point now);
+    void on_global_state(const wire::GlobalState& state);
+    void on_consensus_message(const consensus::message& received);
+    wire::GateLeaseReply on_lease_request(const wire::GateLeaseRequest& request, time_point now);
+    /// Table to send to an instance that holds an older one; empty when it holds the newest.
+    std::optional<wire::TableUpdate> newer_table(std::int64_t generation, std::int64_t version) const;
+    void on_table_update(const wire::TableUpdate& update);
+    /// Takes the state of this instance's gates; a change of health or of the applied table is reported at once.
+    void on_gate_report(gate_report report);
+    /// Registers or refreshes an upstream. @p done gets false when this instance does not lead and knows no leader.
+    void on_announce(const wire::Announce& announced, std::function<void(bool)> done);
+    std::uint32_t shards_of(const std::string& service) const;
+    void start_stopping() { stopping_ = true; }
+
+    bool leads() const { return group_ && group_->leads(); }
+    const std::string& leader() const noexcept { return leader_; }
+    /// True while no leader of the current generation has granted this instance a lease recently.
+    bool ungrouped(time_point now) const;
+    std::uint64_t generation() const noexcept { return generation_; }
+    const replicated_group* group() const noexcept { return group_.get(); }
+    std::shared_ptr<const ownership::table> published() const { return published_; }
+    const std::map<std::string, instance_contact>& contacts() const noexcept { return contacts_; }
+
+private:
+    void join(const wire::GroupFormation& formation);
+    void request_lease(time_point now);
+    void on_lease_reply(const std::string& from, const wire::GateLeaseReply& reply, time_point sent);
+    std::string lease_target();
+
+    void lead(time_point now);
+    void become_leader(time_point now);
+    bool supported(time_point now) const;
+    void note_reports(const wire::GateLeaseRequest& request, time_point now);
+    ownership::cluster_view view_of(const ownership::table& rows, time_point now) const;
+    time_point grant_bound(const ownership::upstream_row& row) const;
+    void plan(time_point now);
+    void plan_conditions(const ownership::table& rows, time_point now);
+    void plan_homes(const ownership::table& rows);
+    void propose(const ownership::command& change);
+    void mirror_and_publish(time_point now);
+    void publish(std::shared_ptr<const ownership::table> rows);
+    void push_table();
+    void replace_voters(time_point now);
+
+    control_context& shared_;
+    global_tier& global_;
+    observer callbacks_;
+    std::uint64_t generation_ = 0;
+    std::unique_ptr<assignment_machine> machine_;
+    std::unique_ptr<replicated_group> group_;
+    std::unique_ptr<ownership::planner> planner_;
+    std::vector<std::string> voters_; ///< names in the formation, to find the leader
+    std::string leader_;
+    std::string candidate_; ///< instance that the last lease request went to
+    std::size_t next_candidate_ = 0;
+    time_point lease_end_;
+    time_point last_granted_;
+    time_point next_lease_request_;
+    time_point next_plan_;
+    time_point led_since_;
+    time_point mirror_unreachable_until_;
+    std::int64_t lease_sequence_ = 0;
+    std::shared_ptr<const ownership::table> published_;
+    gate_report report_;
+    std::map<std::string, instance_contact> contacts_;
+    std::map<std::string, upstream_contact> upstreams_;
+    std::map<std::string, wire::ServiceHomes> proposed_homes_;
+    std::size_t outstanding_ = 0; ///< proposals whose result is not known yet
+    std::uint64_t mirroring_ = 0; ///< version that is being mirrored; 0 when none
+    bool was_leader_ = false;
+    bool stopping_ = false;
+};
+
+} // namespace kingcupseam::app
--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -60,17 +60,29 @@
 void gate::tick() {
     const time_point now = steady_now();
     ledger_.tick(now);
-    std::vector<wire::UpstreamReport> reports;
     for (const auto& [name, it] : upstreams_) {
         it->tick(now);
+    }
+    std::erase_if(retiring_, [now](const auto& it) { return it->idle() && it->report(now).lease_left_us == 0; });
+    report(now);
+}
+
+void gate::report(time_point now) {
+    if (!observer_) {
+        return;
+    }
+    gate_report result;
+    result.applied_epoch = applied_epoch_;
+    for (const auto& [name, it] : upstreams_) {
         if (it->row().gate == settings_.name) {
-            reports.push_back(it->report(now));
+            result.upstreams.push_back(it->report(now));
         }
     }
-    std::erase_if(retiring_, [](const auto& it) { return it->idle(); });
-    if (observer_) {
-        observer_(std::move(reports));
+    // Grants that this instance no longer renews: the leader waits for their end before a key gets its next owner.
+    for (const auto& it : retiring_) {
+        result.upstreams.push_back(it->report(now));
     }
+    observer_(std::move(result));
 }
 
 void gate::on_view_changed() {
@@ -79,8 +91,10 @@
     if (rows == nullptr) {
         return;
     }
-    for (std::uint32_t n = 0; n < rows->upstreams.size(); ++n) {
-        const auto& row = rows->upstreams[n];
+    for (const auto& row : rows->upstreams) {
+        if (rows->find(row.name) != &row) {
+            continue; // an earlier incarnation
+        }
         const bool wanted = row.gate == settings_.name && row.condition != ownership::upstream_status::lost;
         const auto it = upstreams_.find(row.name);
         if (wanted && (it == upstreams_.end() || it->second->row().incarnation != row.incarnation)) {
@@ -89,16 +103,18 @@
                 retiring_.push_back(std::move(it->second));
             }
             auto added = std::make_unique<upstream_gate>(shared_, row);
-            added->update(*rows, n);
+            added->update(*rows, row);
             upstreams_[row.name] = std::move(added);
         } else if (wanted) {
-            it->second->update(*rows, n);
+            it->second->update(*rows, row);
         } else if (it != upstreams_.end() && settings_.routing == settings::routing_mode::gate) {
             it->second->hand_over();
             retiring_.push_back(std::move(it->second));
             upstreams_.erase(it);
         }
     }
+    applied_epoch_ = ownership::make_epoch(rows->generation, rows->version);
+    report(steady_now());
 }
 
 upstream_gate* gate::find(const std::string& upstream) {
@@ -155,7 +171,7 @@
     case frame_type::suspect_update: {
         const auto update = transport::decode<wire::SuspectUpdate>(received.payload);
         const time_point now = steady_now();
-        suspects_.merge({update.request_digest, static_cast<std::uint32_t>(update.crashes),
+        suspects_.merge({update.request_digest, static_cast<std::uint32_t>(update.crashes), update.survived,
                          now + std::chrono::milliseconds(update.remaining_ms)},
                         now);
         break;
@@ -184,6 +200,7 @@
         wire::SuspectUpdate update;
         update.request_digest = it.digest;
         update.crashes = static_cast<std::int32_t>(it.crashes);
+        update.survived = it.survived;
         update.remaining_ms = std::chrono::duration_cast<std::chrono::milliseconds>(it.expires - now).count();
         const auto payload = transport::encode(update);
         for (const auto& [name, instance] : view->instances) {
--- a/src/app/instance/gate.h
+++ b/src/app/instance/gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/instance/data_center_tier.h"
 #include "app/instance/upstream_gate.h"
 
 #include <functional>
@@ -33,6 +34,7 @@
 private:
     void schedule_tick();
     void tick();
+    void report(time_point now);
     void on_frame(const std::shared_ptr<transport::connection>& from, transport::frame received);
     void on_forward(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void share(const std::vector<admission::suspect_list::suspect>& changed);
@@ -52,7 +54,8 @@
     std::vector<std::unique_ptr<upstream_gate>> retiring_;
     asio::steady_timer timer_;
     std::unique_ptr<transport::peer_server> server_;
-    std::function<void(std::vector<wire::UpstreamReport>)> observer_;
+    std::function<void(gate_report)> observer_;
+    ownership::epoch_number applied_epoch_ = 0;
     std::atomic<std::int64_t> lease_end_{0};
     bool stopped_ = false;
 };
--- /dev/null
+++ b/src/app/instance/global_leader.cpp
@@ -0,0 +1,166 @@
+// Duties of the leader of the global group: formation of data centre groups, homes of shards, replacement of voters.
+#include "app/instance/global_tier.h"
+
+#include <kingcupseam/ownership.h>
+#include <kingcupseam/profile.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace kingcupseam::app {
+
+namespace {
+
+constexpr std::size_t data_center_voters = 3;
+constexpr duration report_lifetime = std::chrono::seconds(1);
+// Longer than a gate lease (600 ms) with its drift margin: every lease of the former generation has ended.
+constexpr duration reformation_wait = std::chrono::milliseconds(1200);
+// Gives all data centres time to register their upstreams before shards are spread over them.
+constexpr duration home_wait = std::chrono::milliseconds(1500);
+
+std::map<std::string, std::uint32_t> slots_by_data_center(const std::map<std::string, wire::TableMirror>& mirrors,
+                                                          const std::string& service) {
+    std::map<std::string, std::uint32_t> slots;
+    for (const auto& [data_center, mirror] : mirrors) {
+        const auto rows = ownership::decode_table(mirror.table);
+        for (const auto& row : rows.upstreams) {
+            if (row.service == service && row.condition != ownership::upstream_status::lost) {
+                slots[data_center] += row.slots;
+            }
+        }
+    }
+    return slots;
+}
+
+/// Spreads shards in proportion to the slots, interleaved.
+wire::ServiceHomes spread(const std::string& service, std::uint32_t shards,
+                          const std::map<std::string, std::uint32_t>& slots) {
+    wire::ServiceHomes result;
+    result.service_name = service;
+    std::vector<double> credit;
+    std::vector<double> weight;
+    double total = 0;
+    for (const auto& [data_center, count] : slots) {
+        result.data_centers.push_back(data_center);
+        weight.push_back(count);
+        credit.push_back(0);
+        total += count;
+    }
+    for (std::uint32_t shard = 0; shard < shards; ++shard) {
+        for (std::size_t n = 0; n < credit.size(); ++n) {
+            credit[n] += weight[n] / total;
+        }
+        const auto best = std::max_element(credit.begin(), credit.end()) - credit.begin();
+        credit[static_cast<std::size_t>(best)] -= 1;
+        result.homes.push_back(static_cast<std::int16_t>(best));
+    }
+    return result;
+}
+
+} // namespace
+
+void global_tier::lead(time_point now) {
+    std::erase_if(ungrouped_, [now](const auto& it) { return now - it.second.last > report_lifetime; });
+    if (!formation_in_progress_) {
+        form_groups(now);
+        plan_homes(now);
+    }
+    replace_voters(now);
+}
+
+void global_tier::note_ungrouped(const wire::StateRequest& request, time_point now) {
+    auto& report = ungrouped_[request.sender.name];
+    const auto generation = static_cast<std::uint64_t>(request.generation);
+    if (report.instance.incarnation != static_cast<std::uint64_t>(request.sender.incarnation) ||
+        report.generation != generation) {
+        report.since = now;
+    }
+    report.instance = from_wire(request.sender);
+    report.generation = generation;
+    report.data_center_size = static_cast<std::size_t>(std::max(1, request.data_center_size));
+    report.last = now;
+}
+
+void global_tier::form_groups(time_point now) {
+    std::set<std::string> data_centers;
+    for (const auto& [name, it] : ungrouped_) {
+        data_centers.insert(it.instance.data_center);
+    }
+    for (const auto& data_center : data_centers) {
+        if (auto formation = formation_for(data_center, now)) {
+            spdlog::info("forming data centre group data_center={} generation={}", data_center, formation->generation);
+            formation_in_progress_ = true;
+            group_->propose(encode_formation(std::move(*formation)),
+                            [this](const auto&) { formation_in_progress_ = false; });
+            return;
+        }
+    }
+}
+
+std::optional<wire::GroupFormation> global_tier::formation_for(const std::string& data_center, time_point now) const {
+    const auto current = known_.formations.find(data_center);
+    const std::int64_t generation = current == known_.formations.end() ? 0 : current->second.generation;
+    wire::GroupFormation formation;
+    formation.data_center = data_center;
+    formation.generation = generation + 1;
+    std::size_t reports = 0;
+    std::size_t size = 1;
+    for (const auto& [name, it] : ungrouped_) {
+        // An instance that has not heard of the current generation yet may still join it.
+        if (it.instance.data_center != data_center || it.generation != static_cast<std::uint64_t>(generation)) {
+            continue;
+        }
+        if (generation > 0 && now - it.since < reformation_wait) {
+            continue;
+        }
+        ++reports;
+        size = std::max(size, it.data_center_size);
+        if (formation.voters.size() < data_center_voters) {
+            wire::Member voter;
+            voter.name = name;
+            voter.incarnation = static_cast<std::int64_t>(it.instance.incarnation);
+            formation.voters.push_back(std::move(voter));
+        }
+    }
+    // The first formation waits for every configured instance, so that the group starts with all its voters.
+    const bool enough = generation == 0 ? reports >= std::min(size, data_center_voters) : reports > size / 2;
+    return enough ? std::optional(std::move(formation)) : std::nullopt;
+}
+
+void global_tier::plan_homes(time_point now) {
+    if (known_.profiles.empty()) {
+        return;
+    }
+    for (const auto& accepted : profile::store::decode(known_.profiles).all()) {
+        for (const auto& service : profile::parse_profile(accepted.name, accepted.content).services) {
+            if (known_.homes.count(service.name) != 0) {
+                continue;
+            }
+            const auto slots = slots_by_data_center(machine_.mirrors(), service.name);
+            if (slots.empty()) {
+                continue;
+            }
+            const auto first_seen = service_first_seen_.emplace(service.name, now).first->second;
+            if (now - first_seen < home_wait) {
+                continue;
+            }
+            spdlog::info("spreading shards service={} data_centers={}", service.name, slots.size());
+            formation_in_progress_ = true;
+            group_->propose(encode_homes(spread(service.name, service.shards, slots)),
+                            [this](const auto&) { formation_in_progress_ = false; });
+            return;
+        }
+    }
+}
+
+void global_tier::replace_voters(time_point now) {
+    consensus::replacement_options options;
+    options.voters = std::max<std::size_t>(1, shared_.settings.global_voters.size());
+    const auto view = consensus::replacement_view_of(group_->node(), group_->self(), {}, now);
+    if (const auto change = consensus::replacement_policy(options).next(view, now)) {
+        group_->change(*change);
+    }
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/global_tier.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "app/instance/control_context.h"
+#include "app/instance/global_state.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace kingcupseam::app {
+
+/// This instance's part in the global group: voter and leader duties on instances with a disk, and on every instance
+/// the newest state that it knows and the way to the leader.
+class global_tier {
+public:
+    using on_state = std::function<void(const wire::GlobalState&)>;
+
+    global_tier(control_context& shared, on_state observer);
+
+    void tick(time_point now);
+    void on_consensus_message(const consensus::message& received);
+    wire::VoterStatusReply on_voter_status() const;
+    wire::StateReply on_state_request(const wire::StateRequest& request, time_point now);
+    /// Merges a reply of another instance; an older version never replaces a newer one.
+    void on_state_reply(const wire::StateReply& reply, time_point now);
+
+    /// Commits a command through the leader, wherever it is.
+    void propose(const std::string& command, replicated_group::on_result done);
+    /// Command of another instance: answered only by the leader.
+    void on_command(const wire::CommandRequest& request, std::function<void(wire::CommandReply)> done);
+
+    const wire::GlobalState& state() const noexcept { return known_; }
+    const std::string& leader() const noexcept { return leader_; }
+    bool leads() const { return group_ && group_->leads(); }
+    /// True once the state is known to be current, or once the wait for an authoritative answer ran out.
+    bool ready() const noexcept { return ready_; }
+    const replicated_group* group() const noexcept { return group_.get(); }
+
+private:
+    struct ungrouped_report {
+        instance_info instance;
+        std::uint64_t generation = 0;
+        std::size_t data_center_size = 0;
+        time_point since;
+        time_point last;
+    };
+
+    void open_group(const std::optional<consensus::membership>& initial);
+    void form_when_all_empty();
+    void ask_initial_voters();
+    void lead(time_point now);
+    void form_groups(time_point now);
+    std::optional<wire::GroupFormation> formation_for(const std::string& data_center, time_point now) const;
+    void plan_homes(time_point now);
+    void replace_voters(time_point now);
+    void publish();
+    void note_ungrouped(const wire::StateRequest& request, time_point now);
+
+    control_context& shared_;
+    on_state observer_;
+    global_state machine_;
+    std::unique_ptr<replicated_group> group_;
+    wire::GlobalState known_;
+    std::string leader_;
+    std::map<std::string, std::int64_t> empty_voters_; ///< identities of initial voters that reported an empty folder
+    std::map<std::string, ungrouped_report> ungrouped_;
+    std::map<std::string, time_point> service_first_seen_;
+    std::set<std::string> durable_spares_;
+    time_point started_;
+    time_point next_lead_;
+    time_point next_voter_poll_;
+    bool formation_in_progress_ = false;
+    bool ready_ = false;
+};
+
+} // namespace kingcupseam::app
--- a/src/app/instance/grant_pusher.cpp
+++ b/src/app/instance/grant_pusher.cpp
@@ -2,8 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <spdlog/spdlog.h>
-
 namespace kingcupseam::app {
 
 namespace {
@@ -18,42 +16,8 @@
     return ranges;
 }
 
-void add_shard(ownership::grant_holder::scope& result, std::uint32_t shard) {
-    if (!result.shards.empty() && result.shards.back().second + 1 == shard) {
-        result.shards.back().second = shard;
-    } else {
-        result.shards.emplace_back(shard, shard);
-    }
-}
-
 } // namespace
 
-ownership::grant_holder::scope scope_of(const ownership::table& rows, std::uint32_t index) {
-    ownership::grant_holder::scope result;
-    const auto service = rows.services.find(rows.upstreams.at(index).service);
-    if (service == rows.services.end()) {
-        return result;
-    }
-    const auto owned = [&](const ownership::shard_row& row) {
-        return row.owner == index && row.next == ownership::no_upstream;
-    };
-    const auto& shards = service->second.shards;
-    for (std::uint32_t shard = 0; shard < shards.size(); ++shard) {
-        if (owned(shards[shard])) {
-            add_shard(result, shard);
-        }
-    }
-    for (const auto& [key, row] : service->second.hot_keys) {
-        const auto shard = shard_of(key, static_cast<std::uint32_t>(shards.size()));
-        if (owned(row)) {
-            result.hot_keys.insert(key);
-        } else if (owned(shards[shard])) {
-            result.moved_keys.insert(key);
-        }
-    }
-    return result;
-}
-
 grant_pusher::grant_pusher(asio::io_context& context, std::string address, duration lease, duration interval,
                            observer callbacks)
     : address_(std::move(address)), interval_(interval), callbacks_(std::move(callbacks)),
--- a/src/app/instance/grant_pusher.h
+++ b/src/app/instance/grant_pusher.h
@@ -11,9 +11,6 @@
 
 namespace kingcupseam::app {
 
-/// Shards and keys that the upstream at @p index may run under @p rows; those that are moving are left out.
-ownership::grant_holder::scope scope_of(const ownership::table& rows, std::uint32_t index);
-
 /// Pushes grants to one upstream over connections of its own, so that a silent data connection does not end
 /// the grant.
 class grant_pusher {
--- /dev/null
+++ b/src/app/instance/instance.cpp
@@ -0,0 +1,148 @@
+#include "app/instance/instance.h"
+
+#include "app/instance/control.h"
+#include "app/instance/entry.h"
+#include "app/instance/gate.h"
+
+#include <spdlog/spdlog.h>
+
+#include <thread>
+
+namespace kingcupseam::app {
+
+namespace {
+
+/// One thread with its own io_context. Every object of the thread is made and destroyed while the thread is not running.
+struct worker {
+    asio::io_context io{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work{io.get_executor()};
+    std::thread thread;
+
+    void start() {
+        thread = std::thread([this] { io.run(); });
+    }
+    void stop() {
+        io.stop();
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+};
+
+std::uint64_t new_incarnation() {
+    // Wall clock time, so that a restarted instance has a higher incarnation than before.
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+class instance {
+public:
+    explicit instance(const settings::instance_settings& settings);
+    void run();
+
+private:
+    void start_shutdown();
+    void poll_shutdown();
+    void finish_shutdown();
+    bool traffic_idle();
+
+    settings::instance_settings settings_;
+    std::uint64_t incarnation_ = new_incarnation();
+    metrics::registry registry_;
+    view_holder views_;
+    worker control_worker_;
+    worker entry_worker_;
+    worker gate_worker_;
+    std::unique_ptr<gate> gate_;
+    std::unique_ptr<entry> entry_;
+    std::unique_ptr<control> control_;
+    asio::signal_set signals_{control_worker_.io, SIGTERM, SIGINT};
+    asio::steady_timer shutdown_timer_{control_worker_.io};
+    time_point shutdown_deadline_;
+    std::atomic<std::size_t> entry_in_progress_{0};
+    std::atomic<bool> gate_idle_{false};
+};
+
+instance::instance(const settings::instance_settings& settings) : settings_(settings) {
+    gate_ = std::make_unique<gate>(gate_worker_.io, settings_, incarnation_, views_, registry_);
+    entry_ = std::make_unique<entry>(
+        entry_worker_.io, settings_, incarnation_, views_, registry_,
+        [this](wire::ForwardRequest request, gate_reply reply) {
+            asio::post(gate_worker_.io, [this, request = std::move(request), reply = std::move(reply)]() mutable {
+                gate_->submit(std::move(request), [this, reply = std::move(reply)](wire::ForwardResponse response) {
+                    asio::post(entry_worker_.io, [reply, response = std::move(response)] { reply(response); });
+                });
+            });
+        });
+    control_ = std::make_unique<control>(
+        control_worker_.io, settings_, incarnation_, registry_,
+        control::observer{[this](std::shared_ptr<const routing_view> view) {
+                              views_.store(std::move(view));
+                              asio::post(gate_worker_.io, [this] { gate_->on_view_changed(); });
+                          },
+                          [this](time_point end) { gate_->set_lease_end(end); }});
+    gate_->on_report([this](gate_report report) {
+        asio::post(control_worker_.io,
+                   [this, report = std::move(report)]() mutable { control_->on_gate_report(std::move(report)); });
+    });
+}
+
+void instance::run() {
+    signals_.async_wait([this](const asio::error_code& ec, int) {
+        if (!ec) {
+            start_shutdown();
+        }
+    });
+    spdlog::info("started instance={} data_center={} incarnation={}", settings_.name, settings_.data_center,
+                 incarnation_);
+    gate_worker_.start();
+    entry_worker_.start();
+    control_worker_.io.run();
+    entry_worker_.stop();
+    gate_worker_.stop();
+    spdlog::info("stopped instance={}", settings_.name);
+}
+
+void instance::start_shutdown() {
+    spdlog::info("stopping instance={}", settings_.name);
+    shutdown_deadline_ = steady_now() + settings_.shutdown_grace;
+    control_->start_stopping();
+    poll_shutdown();
+}
+
+void instance::poll_shutdown() {
+    constexpr duration poll_interval = std::chrono::milliseconds(20);
+    asio::post(entry_worker_.io, [this] { entry_in_progress_ = entry_->in_progress(); });
+    asio::post(gate_worker_.io, [this] { gate_idle_ = gate_->idle(); });
+    if (control_->unready_long_enough()) {
+        asio::post(entry_worker_.io, [this] { entry_->start_stopping(); });
+    }
+    const bool done = control_->handed_over() && control_->unready_long_enough() && entry_in_progress_ == 0 && gate_idle_;
+    if (done || steady_now() > shutdown_deadline_) {
+        finish_shutdown();
+        return;
+    }
+    shutdown_timer_.expires_after(poll_interval);
+    shutdown_timer_.async_wait([this](const asio::error_code& ec) {
+        if (!ec) {
+            poll_shutdown();
+        }
+    });
+}
+
+void instance::finish_shutdown() {
+    asio::post(entry_worker_.io, [this] { entry_->stop(); });
+    asio::post(gate_worker_.io, [this] { gate_->stop(); });
+    control_->stop();
+    control_worker_.work.reset();
+    control_worker_.io.stop();
+}
+
+} // namespace
+
+void run_instance(const settings::instance_settings& settings) {
+    instance it(settings);
+    it.run();
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/replicated_group.cpp
@@ -0,0 +1,121 @@
+#include "app/instance/replicated_group.h"
+
+#include <vector>
+
+namespace kingcupseam::app {
+
+namespace {
+
+constexpr std::uint64_t entries_before_snapshot = 1000;
+constexpr duration proposal_timeout = std::chrono::seconds(2);
+
+/// Restores the machine before the node can deliver entries that follow the snapshot.
+consensus::options restored(const consensus::options& settings, const storage::log_store& store,
+                            state_machine& machine, std::uint64_t& applied) {
+    if (const auto saved = store.load_snapshot(); saved && saved->index > 0) {
+        if (!saved->data.empty()) {
+            machine.restore(saved->data);
+        }
+        applied = saved->index;
+    }
+    return settings;
+}
+
+} // namespace
+
+replicated_group::replicated_group(const consensus::options& settings, std::unique_ptr<storage::log_store> store,
+                                   state_machine& machine, sender send)
+    : self_(settings.self), store_(std::move(store)), machine_(machine), send_(std::move(send)),
+      node_(restored(settings, *store_, machine_, applied_), *store_, steady_now()) {}
+
+void replicated_group::receive(const consensus::message& received) {
+    perform(node_.receive(received, steady_now()));
+}
+
+void replicated_group::tick() {
+    const time_point now = steady_now();
+    perform(node_.tick(now));
+    expire(now);
+}
+
+void replicated_group::propose(std::string command, on_result done) {
+    consensus::effects effects;
+    try {
+        const auto index = node_.propose(std::move(command), steady_now(), effects);
+        proposals_[index] = {node_.term(), steady_now(), std::move(done)};
+    } catch (const consensus::not_leader&) {
+        done(std::nullopt);
+        return;
+    }
+    perform(std::move(effects));
+}
+
+bool replicated_group::change(const consensus::membership_change& wanted) {
+    consensus::effects effects;
+    try {
+        node_.change(wanted, steady_now(), effects);
+    } catch (const consensus::not_leader&) {
+        return false;
+    } catch (const consensus::change_refused&) {
+        return false;
+    }
+    perform(std::move(effects));
+    return true;
+}
+
+bool replicated_group::leads() const {
+    return node_.current_role() == consensus::role::leader && steady_now() < node_.leadership_valid_until();
+}
+
+void replicated_group::perform(consensus::effects effects) {
+    for (const auto& it : effects.messages) {
+        send_(it);
+    }
+    if (effects.install) {
+        machine_.restore(effects.install->data);
+        applied_ = effects.install->index;
+    }
+    for (const auto& it : effects.committed) {
+        apply(it);
+    }
+    compact_when_long();
+}
+
+void replicated_group::apply(const storage::entry& committed) {
+    std::string result;
+    if (committed.kind == storage::entry_kind::command) {
+        result = machine_.apply(committed.data, committed.index);
+    }
+    applied_ = committed.index;
+    const auto it = proposals_.find(committed.index);
+    if (it == proposals_.end()) {
+        return;
+    }
+    // Another leader's entry took the index when the terms differ: the proposal was lost.
+    const bool own = it->second.term == committed.term;
+    const auto done = std::move(it->second.done);
+    proposals_.erase(it);
+    done(own ? std::optional(std::move(result)) : std::nullopt);
+}
+
+void replicated_group::compact_when_long() {
+    if (applied_ + 1 > store_->first_index() + entries_before_snapshot) {
+        node_.compact(applied_, machine_.save());
+    }
+}
+
+void replicated_group::expire(time_point now) {
+    std::vector<on_result> expired;
+    std::erase_if(proposals_, [&](auto& it) {
+        if (now - it.second.since < proposal_timeout) {
+            return false;
+        }
+        expired.push_back(std::move(it.second.done));
+        return true;
+    });
+    for (const auto& it : expired) {
+        it(std::nullopt);
+    }
+}
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/instance/replicated_group.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <kingcupseam/consensus.h>
+#include <kingcupseam/storage.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace kingcupseam::app {
+
+/// Deterministic state machine behind a replicated log.
+class state_machine {
+public:
+    state_machine() = default;
+    state_machine(const state_machine&) = delete;
+    state_machine& operator=(const state_machine&) = delete;
+    virtual ~state_machine() = default;
+
+    /// @returns the result for the proposer
+    virtual std::string apply(const std::string& command, std::uint64_t index) = 0;
+    virtual std::string save() const = 0;
+    virtual void restore(const std::string& saved) = 0;
+};
+
+/// One member of a consensus group together with its log and state machine.
+class replicated_group {
+public:
+    using sender = std::function<void(const consensus::message&)>;
+    /// The result of the state machine, or empty when the command was not committed as far as this member knows.
+    using on_result = std::function<void(std::optional<std::string>)>;
+
+    replicated_group(const consensus::options& settings, std::unique_ptr<storage::log_store> store,
+                     state_machine& machine, sender send);
+
+    void receive(const consensus::message& received);
+    void tick();
+    void propose(std::string command, on_result done);
+    /// @returns false when this member does not lead or the change is refused now
+    bool change(const consensus::membership_change& wanted);
+    /// True while this member leads and no other member can have been elected.
+    bool leads() const;
+    const consensus::node& node() const noexcept { return node_; }
+    const consensus::member_id& self() const noexcept { return self_; }
+    storage::log_store& store() noexcept { return *store_; }
+
+private:
+    struct waiting {
+        std::uint64_t term = 0;
+        time_point since;
+        on_result done;
+    };
+
+    void perform(consensus::effects effects);
+    void apply(const storage::entry& committed);
+    void compact_when_long();
+    void expire(time_point now);
+
+    consensus::member_id self_;
+    std::unique_ptr<storage::log_store> store_;
+    state_machine& machine_;
+    sender send_;
+    std::uint64_t applied_ = 0;
+    consensus::node node_;
+    std::map<std::uint64_t, waiting> proposals_; ///< by log index
+};
+
+} // namespace kingcupseam::app
--- a/src/app/instance/upstream_gate.cpp
+++ b/src/app/instance/upstream_gate.cpp
@@ -50,10 +50,9 @@
     *alive_ = false;
 }
 
-void upstream_gate::update(const ownership::table& rows, std::uint32_t index) {
-    const auto& next = rows.upstreams.at(index);
+void upstream_gate::update(const ownership::table& rows, const ownership::upstream_row& next) {
     if (next.epoch != row_.epoch || next.version != row_.version || !grants_.contacted()) {
-        grants_.assign(next.epoch, next.version, scope_of(rows, index));
+        grants_.assign(next.epoch, next.version, scope_of(rows, next));
     }
     row_ = next;
     handed_over_ = false;
@@ -169,8 +168,7 @@
             grants_.push_due(now, shared_.lease_end());
         }
     }
-    const auto usable = static_cast<std::uint32_t>(row_.slots * health_.slot_fraction(now));
-    queue_->set_slots(std::max(1U, usable));
+    queue_->set_slots(row_.slots * health_.slot_fraction(now));
     expire(now);
     check_silence(now);
     std::erase_if(recently_broken_,
--- a/src/app/instance/upstream_gate.h
+++ b/src/app/instance/upstream_gate.h
@@ -41,7 +41,7 @@
     upstream_gate& operator=(const upstream_gate&) = delete;
 
     /// Takes over a newer row of the routing table.
-    void update(const ownership::table& rows, std::uint32_t index);
+    void update(const ownership::table& rows, const ownership::upstream_row& next);
     void submit(gate_request_ptr request);
     void tick(time_point now);
     /// Another instance is the gate now: refuses what waits; what is in flight ends by itself.
