--- /dev/null
+++ b/src/app/run_judge.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "app/run_record.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupseam::app {
+
+/// What the records of all upstreams show together.
+struct judgement {
+    std::uint64_t files = 0;
+    std::uint64_t runs = 0;
+    std::uint64_t double_runs = 0;        ///< at-most-once idempotency keys that were started more than once
+    std::uint64_t runs_without_grant = 0; ///< by upstreams that check grants
+    std::uint64_t unchecked_runs_without_grant = 0; ///< by upstreams that do not check grants
+    std::uint64_t double_owners = 0;                ///< pairs of overlapping grants of one shard or hot key
+    duration longest_double_ownership{};
+    std::vector<std::string> examples; ///< the first few findings, as text
+    std::unordered_map<std::string, std::uint32_t> runs_by_idempotency_key;
+};
+
+/// Collects the records of many upstreams and compares them.
+class run_judge {
+public:
+    /// @param shards number of shards of every service, to find the shard of a hot key
+    explicit run_judge(std::uint32_t shards);
+
+    /// Adds the lines of one upstream in their order.
+    void add_upstream(const std::vector<record_line>& lines);
+    judgement finish();
+
+private:
+    struct interval {
+        time_point from;
+        time_point until;
+        std::size_t upstream = 0;
+    };
+    struct live_grant {
+        time_point from;
+        time_point until;
+        grant_scope scope;
+    };
+    struct service_grants {
+        std::map<std::uint32_t, std::vector<interval>> shards;
+        std::map<std::string, std::vector<interval>> hot_keys;
+        std::map<std::string, std::vector<interval>> moved_keys;
+    };
+    struct upstream_state {
+        record_open identity;
+        live_grant grant;
+    };
+
+    void on_run(const upstream_state& upstream, const record_run& run, time_point at);
+    /// Ends the grant in force at @p at and files it under its shards and keys.
+    void close_grant(upstream_state& upstream, time_point at);
+    void count_overlaps(const std::string& what, std::vector<interval>& intervals);
+    void count_hot_key(const std::string& key, service_grants& service);
+    void note(const std::string& text);
+
+    std::uint32_t shards_;
+    std::size_t upstreams_ = 0;
+    std::map<std::string, service_grants> services_;
+    std::unordered_map<std::string, std::uint32_t> at_most_once_starts_;
+    judgement result_;
+};
+
+/// Reads every file of @p folder as the record of one upstream. A torn last line is ignored.
+/// @throws io_error, invalid_input
+judgement judge_folder(const std::filesystem::path& folder, std::uint32_t shards);
+
+} // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/stand_in_options.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "app/commands.h"
+
+#include <kingcupseam/types.h>
+
+#include <array>
+#include <filesystem>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kingcupseam::app {
+
+enum class fault_kind : std::uint8_t {
+    freeze,  ///< the process does nothing, as if stopped by SIGSTOP
+    late,    ///< answers leave after a delay
+    crossed, ///< an answer carries the id and body of another request
+    cut_off, ///< an answer's body is shorter than its Content-Length
+    silent,  ///< the connections open at the start of the fault go silent for good
+    crash,   ///< the process exits at once
+};
+inline constexpr std::array<std::string_view, 6> fault_names{"freeze",  "late",   "crossed",
+                                                             "cut-off", "silent", "crash"};
+/// @throws invalid_input naming @p source
+fault_kind parse_fault_kind(const std::string& source, const std::string& text);
+
+struct scheduled_fault {
+    fault_kind kind = fault_kind::freeze;
+    duration after{}; ///< since the start of the process
+    duration lasting{};
+    double fraction = 1; ///< of the answers
+    bool operator==(const scheduled_fault&) const = default;
+};
+
+struct stand_in_options {
+    std::string name;
+    std::string service;
+    endpoint_address listen;
+    std::vector<endpoint_address> instances;
+    std::uint32_t slots = 2;
+    std::uint32_t connections = 120;
+    std::uint32_t waiting = 16;
+    bool checks_grants = true;
+    duration service_time{};
+    double service_time_spread = 0; ///< sigma of the lognormal distribution; 0: fixed
+    double cold_start = 1;          ///< factor on the service time at first
+    duration cold_start_period{};
+    duration load_lag{};
+    double load_misreport = 1; ///< factor on the reported load
+    duration late_by{};
+    duration drain_limit{};
+    std::size_t answer_bytes = 512;
+    std::string crash_prefix; ///< keys that crash the process; none when empty
+    std::filesystem::path record;
+    std::uint64_t seed = 0;
+    std::vector<scheduled_fault> faults;
+};
+
+/// @returns empty when --help was given
+/// @throws invalid_input
+std::optional<stand_in_options> parse_stand_in_options(const arguments& args);
+
+/// KIND:AFTER_MS:FOR_MS[:FRACTION]
+/// @throws invalid_input
+scheduled_fault parse_scheduled_fault(const std::string& text);
+
+/// Draws service times with the configured mean.
+class service_time_source {
+public:
+    service_time_source(const stand_in_options& settings, time_point started);
+    duration next(time_point now);
+
+private:
+    duration mean_;
+    double cold_start_;
+    duration cold_start_period_;
+    time_point started_;
+    bool fixed_;
+    std::mt19937_64 random_;
+    std::lognormal_distribution<double> factor_;
+};
+
+/// Which faults are in force, and which answers they hit.
+class fault_plan {
+public:
+    explicit fault_plan(std::uint64_t seed) : random_(seed) {}
+    void begin(fault_kind kind, time_point until, double fraction);
+    void clear() { active_.fill({}); }
+    /// Draws whether the fault hits the answer at hand.
+    bool hits(fault_kind kind, time_point now);
+
+private:
+    struct period {
+        time_point until = time_point::min();
+        double fraction = 0;
+    };
+    std::array<period, fault_names.size()> active_{};
+    std::mt19937_64 random_;
+};
+
+} // namespace kingcupseam::app
