--- a/src/app/load.cpp
+++ b/src/app/load.cpp
@@ -1,11 +1,58 @@
 #include "app/commands.h"
+#include "app/load_options.h"
+#include "app/load_report.h"
+#include "app/load_runner.h"
 
 #include <kingcupseam/error.h>
 
+#include <cerrno>
+#include <cstdio>
+#include <fstream>
+
 namespace kingcupseam::app {
 
-int run_load(const arguments& /*args*/) {
-    throw error("this command is not available yet");
+namespace {
+
+void write_file(const std::filesystem::path& file, const std::string& text) {
+    std::ofstream out(file, std::ios::binary);
+    out << text;
+    out.close();
+    if (!out) {
+        throw io_error(file.string(), "write", errno);
+    }
+}
+
+std::string to_text(const load_options& settings, const load_results& results) {
+    switch (settings.output) {
+    case load_output::json:
+        return load_json(settings, results);
+    case load_output::csv:
+        return load_csv(results);
+    case load_output::table:
+        break;
+    }
+    return load_table(results);
+}
+
+} // namespace
+
+int run_load(const arguments& args) {
+    const auto settings = parse_load_options(args);
+    if (!settings) {
+        return exit_success;
+    }
+    load_results results;
+    if (!settings->addresses.empty()) {
+        results = load_runner(*settings).run();
+    }
+    if (!settings->judge.empty()) {
+        results.add_judgement(judge_folder(settings->judge, settings->judge_shards));
+    }
+    if (!settings->html.empty()) {
+        write_file(settings->html, load_html(*settings, results));
+    }
+    std::fputs(to_text(*settings, results).c_str(), stdout);
+    return results.violated() ? exit_failure : exit_success;
 }
 
 } // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/load_options.cpp
@@ -0,0 +1,199 @@
+#include "app/load_options.h"
+
+#include "app/option_parser.h"
+
+#include <kingcupseam/error.h>
+
+#include <cmath>
+
+namespace kingcupseam::app {
+
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr double max_rate = 1e6;
+constexpr double max_seconds = 86400;
+
+std::size_t index_of(rank value) {
+    return static_cast<std::size_t>(value);
+}
+
+duration from_seconds(double value) {
+    return duration(std::llround(value * 1e6));
+}
+
+void add_load_options(option_parser& parser) {
+    parser.add()("address", po::value<std::vector<std::string>>(),
+                 "IP:PORT of an instance's caller listener, also a list with commas");
+    parser.add()("firm", po::value<std::string>()->default_value("navalsig"),
+                 "navalsig or cairnmark: paths and ranks");
+    parser.add()("rate", po::value<double>()->default_value(100), "requests per second of all ranks");
+    parser.add()("mix", po::value<std::string>()->default_value("70:20:10"),
+                 "parts of urgent, standard and deferrable requests");
+    parser.add()("rank-rate", po::value<std::vector<std::string>>(),
+                 "RANK:RATE, replaces the rank's part of --rate");
+    parser.add()("duration", po::value<double>()->default_value(10), "seconds, warm-up included");
+    parser.add()("warmup", po::value<double>()->default_value(0), "seconds at first that are not counted");
+    parser.add()("keys", po::value<std::uint64_t>()->default_value(10000), "number of keys");
+    parser.add()("key-skew", po::value<double>()->default_value(0),
+                 "exponent of the Zipf distribution; 0: uniform");
+    parser.add()("hot-key-shift", po::value<double>()->default_value(0),
+                 "seconds after which other keys become the hot ones; 0: never");
+    parser.add()("flood", po::value<std::vector<std::string>>(),
+                 "RANK:RATE:FROM:TO, additional requests per second between two times in seconds");
+    parser.add()("seed", po::value<std::uint64_t>()->default_value(1), "seed of arrivals and keys");
+    parser.add()("body-bytes", po::value<std::uint64_t>()->default_value(64), "size of the body of a POST");
+}
+
+void add_caller_options(option_parser& parser) {
+    parser.add()("resend", po::value<double>()->default_value(0),
+                 "fraction of at-most-once requests that are sent again with the same Idempotency-Key: after "
+                 "a lost or "
+                 "unknown answer, and without any cause");
+    parser.add()("timeout", po::value<double>()->default_value(5000), "longest wait for an answer, ms");
+    parser.add()("late-after",
+                 po::value<std::string>()->default_value("urgent:200,standard:1000,deferrable:5000"),
+                 "RANK:MS list; a slower answer counts as late");
+    parser.add()("connections", po::value<std::uint64_t>()->default_value(512),
+                 "connections to each address");
+    parser.add()("judge", po::value<std::string>()->default_value(""),
+                 "folder with the record files of all stand-ins; without --address only these are judged");
+    parser.add()("judge-shards", po::value<std::uint64_t>()->default_value(4096),
+                 "number of shards of a service");
+    parser.add()("report", po::value<std::string>()->default_value(""), "write an HTML report to this file");
+    parser.add()("json", po::bool_switch(), "print JSON");
+    parser.add()("csv", po::bool_switch(), "print CSV");
+}
+
+/// Splits RANK:NUMBER and checks the range.
+std::pair<rank, double> parse_rank_value(const std::string& option, const std::string& text, double high) {
+    const auto parts = split(text, ':');
+    if (parts.size() != 2) {
+        throw invalid_input("load", "--" + option, "'" + text + "' must be RANK:NUMBER");
+    }
+    const double value = parse_number(option, parts[1]);
+    if (value < 0 || value > high) {
+        throw invalid_input("load", "--" + option, "'" + parts[1] + "' is out of range");
+    }
+    return {parse_rank("load", "--" + option, parts[0]), value};
+}
+
+std::array<double, rank_count> read_rates(const option_parser& parser) {
+    const double total = parser.number("rate", 0, max_rate);
+    const auto parts = split(parser.text("mix"), ':');
+    if (parts.size() != rank_count) {
+        parser.reject("mix", "must have three parts");
+    }
+    std::array<double, rank_count> result{};
+    double sum = 0;
+    for (std::size_t n = 0; n < rank_count; ++n) {
+        result.at(n) = parse_number("mix", parts[n]);
+        if (result.at(n) < 0) {
+            parser.reject("mix", "parts must not be negative");
+        }
+        sum += result.at(n);
+    }
+    if (sum == 0) {
+        parser.reject("mix", "at least one part must not be zero");
+    }
+    for (auto& it : result) {
+        it *= total / sum;
+    }
+    for (const auto& text : parser.texts("rank-rate")) {
+        const auto [kind, rate] = parse_rank_value("rank-rate", text, max_rate);
+        result.at(index_of(kind)) = rate;
+    }
+    return result;
+}
+
+std::array<duration, rank_count> read_late_after(const option_parser& parser) {
+    std::array<duration, rank_count> result{std::chrono::milliseconds(200), std::chrono::seconds(1),
+                                            std::chrono::seconds(5)};
+    for (const auto& text : split(parser.text("late-after"), ',')) {
+        const auto [kind, ms] = parse_rank_value("late-after", text, max_seconds * 1000);
+        result.at(index_of(kind)) = from_seconds(ms / 1000);
+    }
+    return result;
+}
+
+void read_load(const option_parser& parser, load_options& result) {
+    result.addresses = parser.endpoints("address");
+    result.firm = parser.text("firm");
+    work_of(result.firm);
+    result.rates = read_rates(parser);
+    result.length = parser.seconds("duration", 0, max_seconds);
+    result.warmup = parser.seconds("warmup", 0, max_seconds);
+    result.keys = parser.integer("keys", 1, 5'000'000);
+    result.key_skew = parser.number("key-skew", 0, 5);
+    result.hot_key_shift = parser.seconds("hot-key-shift", 0, max_seconds);
+    for (const auto& it : parser.texts("flood")) {
+        result.floods.push_back(parse_flood(it));
+    }
+    result.seed = parser.integer("seed", 0, UINT64_MAX);
+    result.body_bytes = parser.integer("body-bytes", 0, 1'000'000);
+}
+
+load_output read_output(const option_parser& parser) {
+    if (parser.flag("json") && parser.flag("csv")) {
+        parser.reject("csv", "excludes --json");
+    }
+    if (parser.flag("json")) {
+        return load_output::json;
+    }
+    return parser.flag("csv") ? load_output::csv : load_output::table;
+}
+
+} // namespace
+
+const firm_work& work_of(const std::string& firm) {
+    static const firm_work navalsig{{{"GET", "/registry/rafts/", "/history"},
+                                     {"POST", "/registry/rafts/", "/bookings"},
+                                     {"POST", "/repack/rafts/", "/orders"}}};
+    static const firm_work cairnmark{{{"GET", "/records/sites/", "/reports"},
+                                      {"POST", "/records/sites/", "/signoffs"},
+                                      {"POST", "/ledger/sites/", "/invoices"}}};
+    if (firm != "navalsig" && firm != "cairnmark") {
+        throw invalid_input("load", "--firm", "must be navalsig or cairnmark");
+    }
+    return firm == "navalsig" ? navalsig : cairnmark;
+}
+
+flood parse_flood(const std::string& text) {
+    const auto parts = split(text, ':');
+    if (parts.size() != 4) {
+        throw invalid_input("load", "--flood", "'" + text + "' must be RANK:RATE:FROM:TO");
+    }
+    const double rate = parse_number("flood", parts[1]);
+    const double from = parse_number("flood", parts[2]);
+    const double to = parse_number("flood", parts[3]);
+    if (rate < 0 || rate > max_rate || from < 0 || to < from || to > max_seconds) {
+        throw invalid_input("load", "--flood", "'" + text + "' has a rate or time out of range");
+    }
+    return {parse_rank("load", "--flood", parts[0]), rate, from_seconds(from), from_seconds(to)};
+}
+
+std::optional<load_options> parse_load_options(const arguments& args) {
+    option_parser parser("load", "Sends load in an open loop and reports service per rank.");
+    add_load_options(parser);
+    add_caller_options(parser);
+    if (!parser.parse(args)) {
+        return std::nullopt;
+    }
+    load_options result;
+    read_load(parser, result);
+    result.resend_fraction = parser.number("resend", 0, 1);
+    result.timeout = parser.milliseconds("timeout", 1, max_seconds * 1000);
+    result.late_after = read_late_after(parser);
+    result.connections = parser.integer("connections", 1, 4096);
+    result.judge = parser.text("judge");
+    result.judge_shards = static_cast<std::uint32_t>(parser.integer("judge-shards", 1, 1U << 20U));
+    result.html = parser.text("report");
+    result.output = read_output(parser);
+    if (result.addresses.empty() && result.judge.empty()) {
+        parser.reject("address", "is needed unless --judge is given");
+    }
+    return result;
+}
+
+} // namespace kingcupseam::app
--- a/src/app/stand_in_worker.cpp
+++ b/src/app/stand_in_worker.cpp
@@ -63,7 +63,7 @@
 void stand_in_worker::start(stand_in_task task) {
     const auto now = steady_now();
     ++counts_.started;
-    ++executions_[task.key];
+    task.execution = ++executions_[task.key];
     record_run_event(task, true, now);
     const bool marked = !settings_.crash_prefix.empty() &&
                         task.key.compare(0, settings_.crash_prefix.size(), settings_.crash_prefix) == 0;
@@ -107,7 +107,7 @@
                         {"Kingcupseam-Request-Id", task.id},
                         {"Kingcupseam-Token", holder_.issue_token(now)}};
     response.body = encode_answer({task.key, task.idempotency_key, task.request.method, task.request.path(),
-                                   settings_.name, executions_[task.key]},
+                                   settings_.name, task.execution},
                                   settings_.answer_bytes);
     const auto own = response;
     if (faults_.hits(fault_kind::crossed, now) && last_answer_) {
--- a/src/app/stand_in_worker.h
+++ b/src/app/stand_in_worker.h
@@ -29,6 +29,7 @@
     std::uint32_t shard = 0;
     std::uint64_t epoch = 0;
     time_point deadline = time_point::max();
+    std::uint64_t execution = 0; ///< of its key, counting this one; set at the start
 };
 
 struct stand_in_counts {
