--- a/include/kingcupseam/ownership.h
+++ b/include/kingcupseam/ownership.h
@@ -268,7 +268,8 @@
     /// True while the upstream surely holds a live grant of the assigned version, less dispatch_margin();
     /// dispatch only then.
     bool may_dispatch(time_point now) const;
-    /// Latest time at which the upstream can hold a live grant from this gate.
+    /// Latest time at which the upstream can hold a live grant from this gate; time_point{} before the first
+    /// one.
     time_point may_live_until() const noexcept;
     bool revoked(time_point now) const;
     /// Number of pushes in a row that failed or went unanswered.
--- a/src/ownership/assignment_change.h
+++ b/src/ownership/assignment_change.h
@@ -21,7 +21,8 @@
     bool create_service(const register_upstream& change);
     bool update_row(upstream_row& row, const upstream_row& announced);
     void add_row(const upstream_row& announced);
-    std::uint32_t free_index() const;
+    bool superseded(const upstream_row& announced) const;
+    std::uint32_t free_index(const std::string& name) const;
     /// Index of the latest incarnation, or no_upstream when it is lost or not of @p service.
     std::uint32_t target(const std::string& service, const std::string& upstream) const;
     void raise(std::uint32_t index);
--- a/src/ownership/grant_holder.cpp
+++ b/src/ownership/grant_holder.cpp
@@ -26,7 +26,7 @@
     epoch_number version = 0;
     epoch_number newest_version = 0; ///< highest version seen within the epoch, held or not
     scope granted;
-    time_point live_until = time_point::min();
+    time_point live_until{};
 
     void forget_tokens(time_point now);
     void renew(duration lease, const std::string& token);
@@ -72,12 +72,12 @@
     if (epoch > it.epoch) {
         // A lease of the former gate is unknown to the next one, which could not wait for its end.
         it.epoch = epoch;
-        it.live_until = time_point::min();
+        it.live_until = time_point{};
     }
     it.newest_version = version;
     if (version != it.version) {
         if (!granted) {
-            it.live_until = time_point::min();
+            it.live_until = time_point{};
             return reply::shards_missing;
         }
         it.version = version;
--- a/src/ownership/grant_issuer.cpp
+++ b/src/ownership/grant_issuer.cpp
@@ -25,7 +25,7 @@
     time_point token_received{};
     time_point token_requested{};
     time_point next_push = time_point::min();
-    time_point live_until = time_point::min();
+    time_point live_until{}; ///< not min(), so that callers can subtract from it
     time_point dispatch_until = time_point::min();
     std::deque<time_point> open_pushes; ///< ends of dispatch, in the order of sending
     std::uint32_t failures = 0;
--- a/src/ownership/plan_instances.cpp
+++ b/src/ownership/plan_instances.cpp
@@ -54,7 +54,8 @@
               std::string gate_choice::*other) {
     const auto by_count = [](const auto& a, const auto& b) { return a.second < b.second; };
     while (true) {
-        const auto [low, high] = std::minmax_element(counts.begin(), counts.end(), by_count);
+        const auto low = std::min_element(counts.begin(), counts.end(), by_count);
+        const auto high = std::max_element(counts.begin(), counts.end(), by_count);
         if (high->second <= low->second + 1) {
             return;
         }
--- a/src/ownership/register_change.cpp
+++ b/src/ownership/register_change.cpp
@@ -49,10 +49,24 @@
     return true;
 }
 
-// A row that still owns something keeps its place, since its shards refer to it by index.
-std::uint32_t assignment_change::free_index() const {
+// Acknowledgements are known by name. A process that returns after another one took its name would be taken
+// for the one that acknowledged, so it stays lost.
+bool assignment_change::superseded(const upstream_row& announced) const {
+    const auto* latest = rows_.find(announced.name);
+    return latest != nullptr && latest->incarnation != announced.incarnation &&
+           std::any_of(rows_.upstreams.begin(), rows_.upstreams.end(), [&](const upstream_row& it) {
+               return it.name == announced.name && it.incarnation == announced.incarnation;
+           });
+}
+
+// A row that still owns something keeps its place, since its shards refer to it by index; so does the row of
+// the incarnation that @p name had last, by which that incarnation is recognised when it returns.
+std::uint32_t assignment_change::free_index(const std::string& name) const {
     std::vector<bool> used(rows_.upstreams.size());
-    for (const auto& [name, service] : rows_.services) {
+    if (const auto* last = rows_.find(name)) {
+        used[static_cast<std::size_t>(last - rows_.upstreams.data())] = true;
+    }
+    for (const auto& [service_name, service] : rows_.services) {
         for (const auto& it : service.shards) {
             mark_used(used, it);
         }
@@ -69,7 +83,7 @@
 }
 
 void assignment_change::add_row(const upstream_row& announced) {
-    const auto index = free_index();
+    const auto index = free_index(announced.name);
     if (index == rows_.upstreams.size()) {
         rows_.upstreams.emplace_back();
     }
@@ -100,7 +114,7 @@
 bool assignment_change::apply(const register_upstream& change) {
     const auto& announced = change.row;
     if (announced.name.empty() || announced.service.empty() || announced.slots == 0 ||
-        announced.condition == upstream_status::lost || !create_service(change)) {
+        announced.condition == upstream_status::lost || superseded(announced) || !create_service(change)) {
         return false;
     }
     bool known = false;
--- /dev/null
+++ b/tests/ownership/scenario_test.cpp
@@ -0,0 +1,177 @@
+#include "ownership/world.h"
+#include "support/scenario.h"
+
+#include <doctest/doctest.h>
+
+using namespace kingcupseam;
+using namespace kingcupseam::ownership;
+using namespace kingcupseam::ownership::test;
+
+namespace {
+
+duration ms(std::int64_t n) {
+    return std::chrono::milliseconds(n);
+}
+
+/// Interprets the steps of tests/scenarios/ownership_*.toml.
+class player {
+public:
+    player(const kingcupseam::test::scenario& script, std::uint64_t seed, faults broken)
+        : script_(script), world_(options_of(script, seed, broken)), expect_(true) {}
+
+    /// @param expect whether the expect_* steps are checked; a broken variant may miss them
+    const world& play(bool expect) {
+        expect_ = expect;
+        for (const auto& it : script_.steps) {
+            CAPTURE(it.verb);
+            act(it);
+        }
+        return world_;
+    }
+
+private:
+    static world_options options_of(const kingcupseam::test::scenario& script, std::uint64_t seed,
+                                    faults broken) {
+        world_options options;
+        options.seed = seed;
+        options.loss = toml::find_or(script.setup, "loss", options.loss);
+        options.planning.ramp = duration::zero();
+        options.planning.ledger_group_count = 2;
+        options.broken = broken;
+        return options;
+    }
+
+    void act(const kingcupseam::test::scenario_step& it) {
+        const auto name = it.text("name");
+        if (it.verb == "gates") {
+            for (const auto& gate : it.list("names")) {
+                world_.add_gate(gate);
+            }
+        } else if (it.verb == "upstreams") {
+            for (const auto& upstream : it.list("names")) {
+                world_.add_upstream(upstream, static_cast<std::uint64_t>(it.number("incarnation", 1)),
+                                    it.text("checks_grants", "yes") == "yes");
+            }
+        } else if (it.verb == "stop") {
+            world_.stop(name);
+        } else if (it.verb == "pause") {
+            world_.pause(name);
+        } else if (it.verb == "resume") {
+            world_.resume(name);
+        } else if (it.verb == "drain") {
+            world_.drain(name);
+        } else if (it.verb == "cut") {
+            for (const auto& other : it.list("from")) {
+                world_.cut(name, other);
+            }
+        } else if (it.verb == "cut_off_with_gate") {
+            world_.cut_off_with_gate(name);
+        } else if (it.verb == "heal") {
+            world_.heal();
+        } else if (it.verb == "change_leader") {
+            world_.change_leader(ms(it.number("election_ms", 300)));
+        } else if (it.verb == "network") {
+            world_.set_network(ms(it.number("max_delay_ms")),
+                               static_cast<double>(it.number("loss_percent")) / 100,
+                               static_cast<double>(it.number("held_percent", 2)) / 100);
+        } else if (it.verb == "hot_key") {
+            world_.set_hot_keys({{service_name, name, 500}, {service_name, it.text("second"), 400}});
+        } else {
+            wait(it);
+        }
+    }
+
+    void wait(const kingcupseam::test::scenario_step& it) {
+        const auto name = it.text("name");
+        const auto within = ms(it.number("within_ms", 1000));
+        if (it.verb == "run") {
+            world_.run(ms(it.number("ms")));
+        } else if (it.verb == "until_moving") {
+            expect(world_.run_until([&] { return world_.moving(); }, within));
+        } else if (it.verb == "expect_served") {
+            expect(world_.run_until([&] { return world_.served() == 24; }, within));
+        } else if (it.verb == "expect_none_owned") {
+            expect(world_.run_until([&] { return world_.owned_by(name) == 0 && !world_.moving(); }, within));
+        } else if (it.verb == "expect_owned") {
+            expect(world_.run_until([&] { return world_.owned_by(name) > 0; }, within));
+        } else if (it.verb == "expect_hot_key_apart") {
+            expect(world_.run_until([&] { return hot_keys_at_rest(); }, within));
+        } else if (it.verb == "expect_idle") {
+            const auto before = world_.started_by(name);
+            world_.run(ms(it.number("ms")));
+            expect(world_.started_by(name) == before);
+        } else {
+            FAIL("unknown step " << it.verb);
+        }
+    }
+
+    bool hot_keys_at_rest() const {
+        const auto& keys = world_.rows().services.at(service_name).hot_keys;
+        return !keys.empty() && keys.begin()->second.next == no_upstream;
+    }
+
+    void expect(bool reached) const {
+        if (expect_) {
+            CHECK(reached);
+        }
+    }
+
+    const kingcupseam::test::scenario& script_;
+    world world_;
+    bool expect_;
+};
+
+constexpr std::uint64_t seeds_per_scenario = 5;
+// A delayed grant must meet a move for its fault to show, which takes more tries.
+constexpr std::uint64_t seeds_per_fault = 20;
+
+/// Number of the seeds with which a scenario shows the broken variant.
+int seeds_that_detect(const std::string& name, const faults& broken) {
+    const auto script = kingcupseam::test::load_scenario(
+        std::string(KINGCUPSEAM_SOURCE_DIR "/tests/scenarios/ownership_") + name + ".toml");
+    int detected = 0;
+    for (std::uint64_t seed = 1; seed <= seeds_per_fault; ++seed) {
+        player it(script, seed, broken);
+        detected += it.play(false).violations().empty() ? 0 : 1;
+    }
+    return detected;
+}
+
+} // namespace
+
+TEST_CASE("ownership scenarios keep one live grant per shard") {
+    const auto files = kingcupseam::test::scenarios_of("ownership");
+    REQUIRE(files.size() >= 9);
+    for (const auto& file : files) {
+        const auto script = kingcupseam::test::load_scenario(file);
+        CAPTURE(script.name);
+        CAPTURE(script.guards);
+        for (std::uint64_t seed = script.seed; seed < script.seed + seeds_per_scenario; ++seed) {
+            CAPTURE(seed);
+            player it(script, seed, {});
+            const auto& played = it.play(true);
+            CHECK(played.started() > 100);
+            for (const auto& violation : played.violations()) {
+                FAIL_CHECK(violation);
+            }
+        }
+    }
+}
+
+TEST_CASE("the checks find deliberately broken variants") {
+    SUBCASE("a lease counted from the receipt of the grant") {
+        CHECK(seeds_that_detect("frozen_upstream_returns", {.lease_from_receipt = true}) > 0);
+    }
+    SUBCASE("moves completed while the old grant may be live") {
+        CHECK(seeds_that_detect("move_during_loss", {.complete_without_wait = true}) > 0);
+    }
+    SUBCASE("grants of lower epochs accepted") {
+        CHECK(seeds_that_detect("delayed_grants", {.ignore_epochs = true}) > 0);
+    }
+    SUBCASE("grants past the lease of the gate") {
+        CHECK(seeds_that_detect("gate_cut_off", {.ignore_gate_lease = true}) > 0);
+    }
+    SUBCASE("dispatch to an upstream that does not check grants, without a live grant") {
+        CHECK(seeds_that_detect("unchecked_upstream", {.dispatch_without_grant = true}) > 0);
+    }
+}
--- /dev/null
+++ b/tests/ownership/world_processes.cpp
@@ -0,0 +1,315 @@
+#include "ownership/world.h"
+
+#include <algorithm>
+
+namespace kingcupseam::ownership::test {
+
+using namespace std::chrono_literals;
+
+// The leader
+// ----------------------------------------------------------------------------------------------------
+
+// A report counts from the table version that the gate had applied: at or above the row's version, the gate
+// grants nothing of what the row lost. Without such a report the gate's lease is the bound.
+time_point world::bound_of(const upstream_row& row) const {
+    auto bound = time_point::min();
+    const auto gates = gates_of_.find(row.name);
+    if (gates == gates_of_.end()) {
+        return bound;
+    }
+    for (const auto& it : gates->second) {
+        const auto known = leader_.reports.find({it, row.name});
+        if (known != leader_.reports.end() && make_epoch(1, known->second.table_version) >= row.version) {
+            const auto remaining = known->second.remaining;
+            bound = std::max(bound, known->second.received + remaining + clock_drift(remaining));
+        } else if (const auto lease_bound = leader_.gate_bound.find(it);
+                   lease_bound != leader_.gate_bound.end()) {
+            bound = std::max(bound, lease_bound->second);
+        }
+    }
+    return bound;
+}
+
+cluster_view world::view() const {
+    cluster_view result;
+    const auto now = local(leader_clock_);
+    for (const auto& [name, heard] : leader_.heard) {
+        if (now - heard < 300ms) {
+            result.live_instances.insert(name);
+        }
+    }
+    result.joined_at = leader_.joined;
+    result.hot_keys = hot_keys_;
+    if (options_.broken.complete_without_wait) {
+        return result;
+    }
+    result.acknowledged_version = leader_.acknowledged;
+    for (const auto& it : rows().upstreams) {
+        auto& bound = result.grant_may_live_until.emplace(it.name, time_point::min()).first->second;
+        bound = std::max(bound, bound_of(it));
+    }
+    return result;
+}
+
+void world::step_leader() {
+    if (now_ < leader_.elected_at || !log_.empty()) {
+        return;
+    }
+    for (const auto& it : rows().upstreams) {
+        if (it.condition == upstream_status::active) {
+            leader_.joined.emplace(it.name, local(leader_clock_) - options_.planning.ramp);
+        }
+    }
+    for (const auto& it : leader_.plans->plan(rows(), view(), local(leader_clock_))) {
+        propose(it);
+    }
+}
+
+void world::take_report(const std::string& name, std::uint64_t table_version,
+                        const std::map<std::string, duration>& remaining,
+                        const std::map<upstream_id, std::uint32_t>& failed,
+                        const std::map<std::string, epoch_number>& accepted) {
+    const auto now = local(leader_clock_);
+    leader_.gate_bound[name] = now + lease + clock_drift(lease);
+    leader_.heard[name] = now;
+    for (const auto& [reported, left] : remaining) {
+        auto& it = leader_.reports[{name, reported}];
+        if (table_version >= it.table_version) {
+            it = {table_version, left, now};
+        }
+    }
+    for (const auto& [reported, version] : accepted) {
+        auto& it = leader_.acknowledged[reported];
+        it = std::max(it, version);
+    }
+    for (const auto& [id, failures] : failed) {
+        if (failures >= 2) {
+            propose(set_condition{id.first, id.second, upstream_status::lost});
+        }
+    }
+}
+
+// Gates
+// ---------------------------------------------------------------------------------------------------------
+
+void world::request_lease(const std::string& name, gate& it) {
+    const auto now = local(it.local);
+    if (now < it.next_request) {
+        return;
+    }
+    it.next_request = now + interval / 2;
+    std::map<std::string, duration> remaining;
+    std::map<upstream_id, std::uint32_t> failed;
+    std::map<std::string, epoch_number> accepted;
+    for (const auto& row : it.rows->upstreams) {
+        auto& left = remaining[row.name];
+        const auto own = it.issuers.find({row.name, row.incarnation});
+        if (own == it.issuers.end()) {
+            continue;
+        }
+        left = std::max(left, std::max(duration::zero(), own->second.issuer.may_live_until() - now));
+        if (row.gate != name || row.condition == upstream_status::lost) {
+            continue;
+        }
+        failed[own->first] = own->second.issuer.failures();
+        if (own->second.issuer.revoked(now) || own->second.issuer.may_dispatch(now)) {
+            accepted[row.name] = row.version;
+        }
+    }
+    const auto version = it.rows->version;
+    send(name, leader_name, [=, this] {
+        if (now_ < leader_.elected_at) {
+            return;
+        }
+        take_report(name, version, remaining, failed, accepted);
+        send(leader_name, name, [this, name, now] {
+            if (const auto found = gates_.find(name); found != gates_.end()) {
+                found->second.lease_end = std::max(found->second.lease_end, now + lease);
+            }
+        });
+        const auto rows = state_.current();
+        send(leader_name, name, [this, name, rows] {
+            const auto found = gates_.find(name);
+            if (found != gates_.end() && found->second.rows->version < rows->version) {
+                found->second.rows = rows;
+            }
+        });
+    });
+}
+
+void world::refresh_scopes(gate& it) {
+    if (it.scopes_of == it.rows->version) {
+        return;
+    }
+    it.scopes_of = it.rows->version;
+    it.scopes.clear();
+    for (const auto& row : it.rows->upstreams) {
+        if (row.condition != upstream_status::lost) {
+            it.scopes[row.name] = scope_of(*it.rows, row);
+        }
+    }
+}
+
+void world::step_gate(const std::string& name, gate& it) {
+    refresh_scopes(it);
+    for (const auto& row : it.rows->upstreams) {
+        if (row.gate == name && row.condition != upstream_status::lost) {
+            push_grant(name, it, row);
+            dispatch(name, it, row);
+        }
+    }
+    request_lease(name, it);
+}
+
+void world::push_grant(const std::string& name, gate& it, const upstream_row& row) {
+    const upstream_id id(row.name, row.incarnation);
+    auto& own = it.issuers.try_emplace(id, issued{grant_issuer(lease, interval), {}}).first->second;
+    const auto now = local(it.local);
+    while (!own.open.empty() && own.open.front().deadline <= now) {
+        own.open.erase(own.open.begin());
+        own.issuer.on_failure(now);
+    }
+    const auto& scope = it.scopes.at(row.name);
+    scope.empty() ? own.issuer.revoke(row.epoch) : own.issuer.assign(row.epoch, row.version);
+    const auto lease_end = options_.broken.ignore_gate_lease ? now + 10 * lease : it.lease_end;
+    const auto sent = own.issuer.poll(now, lease_end);
+    if (!sent) {
+        return;
+    }
+    const auto number = ++next_push_;
+    own.open.push_back({now + 100ms, number});
+    send(name, row.name,
+         [=, this, scope = it.scopes.at(row.name)] { receive_grant(name, id, *sent, scope, now, number); });
+}
+
+void world::settle(const std::string& gate_name, const upstream_id& id, const grant_issuer::grant& sent,
+                   grant_holder::reply answer, const std::string& token, epoch_number epoch,
+                   time_point sent_at, std::uint64_t number) {
+    const auto found = gates_.find(gate_name);
+    if (found == gates_.end() || found->second.issuers.count(id) == 0) {
+        return;
+    }
+    auto& own = found->second.issuers.at(id);
+    const auto open = std::find_if(own.open.begin(), own.open.end(),
+                                   [number](const push& it) { return it.number == number; });
+    if (open == own.open.end()) {
+        return;
+    }
+    own.open.erase(open);
+    const auto now = local(found->second.local);
+    own.issuer.on_token(token, now, sent_at);
+    switch (answer) {
+    case grant_holder::reply::accepted:
+        own.issuer.on_accepted(sent.epoch, sent.version, now);
+        break;
+    case grant_holder::reply::shards_missing:
+        own.issuer.on_shards_missing(now);
+        break;
+    case grant_holder::reply::lower_epoch:
+        own.issuer.on_higher_epoch(epoch, now);
+        break;
+    }
+}
+
+// An upstream that does not check grants starts what arrives. The gate's decision counts for it.
+void world::dispatch(const std::string& name, gate& it, const upstream_row& row) {
+    const upstream_id id(row.name, row.incarnation);
+    const auto& issuer = it.issuers.at(id).issuer;
+    if (!options_.broken.dispatch_without_grant && !issuer.may_dispatch(local(it.local))) {
+        return;
+    }
+    const auto shard = static_cast<std::uint32_t>(random_() % options_.shards);
+    if (it.rows->owner_of(service_name, shard, "") != &row) {
+        return;
+    }
+    if (row.checks_grants) {
+        send(name, row.name, [this, id, epoch = row.epoch, shard] { start_request(id, epoch, shard, ""); });
+    } else {
+        start_request(id, row.epoch, shard, "");
+    }
+}
+
+// Upstreams
+// -----------------------------------------------------------------------------------------------------
+
+void world::receive_grant(const std::string& gate_name, const upstream_id& id,
+                          const grant_issuer::grant& sent, const grant_scope& scope, time_point sent_at,
+                          std::uint64_t number) {
+    auto& it = upstreams_.at(id);
+    if (!it.alive) {
+        return;
+    }
+    const auto now = local(it.local);
+    const bool keep = options_.broken.ignore_epochs;
+    const auto epoch = keep ? std::max(sent.epoch, it.holder.epoch() + 1) : sent.epoch;
+    const auto version = keep ? std::max(sent.version, it.holder.version() + 1) : sent.version;
+    const bool fresh = options_.broken.lease_from_receipt && !sent.token.empty();
+    const auto token = fresh ? it.holder.issue_token(now) : sent.token;
+    std::optional<grant_scope> granted;
+    if (sent.with_shards || keep) {
+        granted = sent.revoke ? grant_scope{} : scope;
+    }
+    const auto answer = it.holder.receive(epoch, version, sent.lease, token, granted, now);
+    const auto next_token = it.holder.issue_token(now);
+    send(id.first, gate_name, [=, this, holder_epoch = it.holder.epoch()] {
+        settle(gate_name, id, sent, answer, next_token, holder_epoch, sent_at, number);
+    });
+}
+
+void world::start_request(const upstream_id& id, epoch_number epoch, std::uint32_t shard,
+                          const std::string& key) {
+    auto& it = upstreams_.at(id);
+    if (!it.alive || it.paused ||
+        (it.checks_grants && it.holder.check(epoch, shard, key, local(it.local)) != grant_refusal::none)) {
+        return;
+    }
+    ++it.started;
+    ++started_;
+    if (!holds(id, it, shard, key)) {
+        violate(id.first + " started a request of shard " + std::to_string(shard) + " without a live grant");
+    }
+    for (const auto& [other, one] : upstreams_) {
+        if (other != id && one.alive && holds(other, one, shard, key)) {
+            violate(id.first + " started a request of shard " + std::to_string(shard) + " owned by " +
+                    other.first);
+        }
+    }
+}
+
+void world::step_upstream(const upstream_id& id, upstream& it) {
+    const auto now = local(it.local);
+    const bool due = now >= it.next_announcement && (it.draining || it.holder.live_until() <= now);
+    if (!due || gates_.empty()) {
+        return;
+    }
+    it.next_announcement = now + 500ms;
+    upstream_row row;
+    row.name = id.first;
+    row.incarnation = id.second;
+    row.service = service_name;
+    row.address = "127.0.0.1:1";
+    row.slots = 2;
+    row.checks_grants = it.checks_grants;
+    row.condition = it.draining ? upstream_status::draining : upstream_status::joining;
+    send(id.first, leader_name, [this, row] {
+        if (now_ >= leader_.elected_at) {
+            propose(register_upstream{row, options_.shards, {}});
+        }
+    });
+}
+
+bool world::holds(const upstream_id& id, const upstream& it, std::uint32_t shard,
+                  const std::string& key) const {
+    if (it.checks_grants) {
+        return it.holder.check(it.holder.epoch(), shard, key, local(it.local)) == grant_refusal::none;
+    }
+    return std::any_of(gates_.begin(), gates_.end(), [&](const auto& one) {
+        const auto& [name, at] = one;
+        const auto own = at.issuers.find(id);
+        const auto* owner = at.rows->owner_of(service_name, shard, key);
+        return !at.paused && own != at.issuers.end() && own->second.issuer.may_dispatch(local(at.local)) &&
+               owner != nullptr && owner->name == id.first && owner->incarnation == id.second;
+    });
+}
+
+} // namespace kingcupseam::ownership::test
