Add profiles: parser, rule index and compare-and-set store

The shard count of a service stays fixed even when the service is removed and named again, since data centre groups keep its rows. Keys that would split a header or break JSON do not match a rule.

--- a/include/kingcupseam/encoding.h
+++ b/include/kingcupseam/encoding.h
@@ -59,4 +59,9 @@
     std::uint8_t version_ = 0;
 };
 
+/// Length of the UTF-8 character at the start of @p text; 0 when it is malformed or the text is empty.
+std::size_t utf8_length(std::string_view text) noexcept;
+/// True for UTF-8 without control characters: fit for a header, a JSON text and a log line.
+bool is_plain_text(std::string_view text) noexcept;
+
 } // namespace kingcupseam::encoding
--- a/include/kingcupseam/profile.h
+++ b/include/kingcupseam/profile.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,8 +21,8 @@
     rank priority = rank::urgent;
     execution runs = execution::idempotent;
     duration deadline = std::chrono::milliseconds(1000);
-    std::size_t max_body_bytes = 64 * 1024;
-    auto operator<=>(const rule&) const = default;
+    std::size_t max_body_bytes = 65'536;
+    bool operator==(const rule&) const = default;
 };
 
 struct rank_settings {
@@ -43,7 +44,7 @@
     std::string name;
     std::uint32_t shards = 4096;
     std::vector<rule> rules;
-    auto operator<=>(const service&) const = default;
+    bool operator==(const service&) const = default;
 };
 
 /// A named description of how work is treated. Immutable once parsed.
@@ -80,7 +81,10 @@
 /// Index over all accepted profiles for the entry role; immutable.
 class rule_index {
 public:
+    /// @throws invalid_input when a profile is invalid, or two profiles share a service or match one request
     explicit rule_index(const std::vector<accepted_profile>& profiles);
+    /// Literal segments are compared as sent; the key is percent-decoded. A key that is empty, is a dot
+    /// segment, or is not plain text once decoded does not match, since it is passed on in a header.
     /// @param path path without the query
     std::optional<match> find(std::string_view method, std::string_view path) const;
     /// The profile that a service runs under; null when none.
@@ -110,21 +114,48 @@
     auto operator<=>(const change_result&) const = default;
 };
 
+/// Limits of the store, so that its snapshot stays small.
+inline constexpr std::size_t max_profiles = 64;
+inline constexpr std::size_t max_content_bytes = 65'536;
+inline constexpr std::size_t max_remembered_changes = 1024;
+
 /// Deterministic compare-and-set store; part of the global group's state machine. Remembers the last 1,024
-/// change ids, so that a resent change gets the answer of the first.
+/// change ids, so that a resent change gets the answer of the first. The number of shards of a service is
+/// fixed by the first accepted profile that names it.
 class store {
 public:
     store();
+    /// @returns conflict when base_version is not the version in force; invalid when the content is not a
+    /// valid profile of that name, shares a service or a request with another profile, changes the number of
+    /// shards of a service, or when the change id was used for another change
     change_result apply(const change& wanted);
     std::vector<accepted_profile> all() const;
     std::optional<accepted_profile> find(const std::string& name) const;
-    /// @throws invalid_input when two profiles claim the same service
     std::string encode() const;
+    /// @throws invalid_input
     static store decode(const std::string& bytes);
 
 private:
-    std::map<std::string, accepted_profile> profiles_;
-    std::vector<std::pair<std::string, change_result>> recent_; ///< by change id, oldest first
+    struct entry {
+        accepted_profile accepted;
+        std::shared_ptr<const profile> parsed; ///< null when a later release no longer accepts the content
+    };
+    /// An answer that was given. The content of an accepted change is left out: a resend brings it again, and
+    /// the digest shows that it is the same.
+    struct answer {
+        std::string change_id;
+        std::uint64_t digest = 0;
+        change_result result;
+    };
+
+    change_result decide(const change& wanted) const;
+    void check_against_others(const std::string& name, const profile& wanted) const;
+    void remember(const change& wanted, const change_result& result);
+
+    std::map<std::string, entry> profiles_;
+    std::map<std::string, std::uint32_t> shard_counts_; ///< also of services that no profile names any more
+    std::deque<answer> recent_;                         ///< oldest first
+    std::size_t recent_bytes_ = 0;                      ///< of the contents in recent_
 };
 
 std::string encode(const change& wanted);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,5 @@
 #include <kingcupseam/config.h>
+#include <kingcupseam/encoding.h>
 #include <kingcupseam/error.h>
 
 #include <toml.hpp>
@@ -31,35 +32,12 @@
     }
 }
 
-/// Length of the UTF-8 character at the start of @p text; 0 when it is malformed.
-std::size_t utf8_length(std::string_view text) {
-    const auto lead = static_cast<unsigned char>(text[0]);
-    if (lead < 0x80) {
-        return 1;
-    }
-    const std::size_t n = lead >= 0xf0 ? 4 : (lead >= 0xe0 ? 3 : 2);
-    if (lead < 0xc2 || lead > 0xf4 || text.size() < n) {
-        return 0;
-    }
-    std::uint32_t code = lead & (0xffU >> (n + 1));
-    for (std::size_t it = 1; it < n; ++it) {
-        const auto next = static_cast<unsigned char>(text[it]);
-        if ((next & 0xc0U) != 0x80U) {
-            return 0;
-        }
-        code = (code << 6) | (next & 0x3fU);
-    }
-    const bool overlong = (n == 3 && code < 0x800) || (n == 4 && code < 0x10000);
-    const bool surrogate = code >= 0xd800 && code <= 0xdfff;
-    return overlong || surrogate || code > 0x10ffff ? 0 : n;
-}
-
 /// The parser lets malformed characters and some control characters pass. They would later break the JSON
 /// answers and log lines that repeat the text.
 void check_characters(const std::string& source, std::string_view text) {
     std::size_t line = 1;
     while (!text.empty()) {
-        const std::size_t n = utf8_length(text);
+        const std::size_t n = encoding::utf8_length(text);
         const auto c = static_cast<unsigned char>(text[0]);
         const bool control = (c < 0x20 && c != '\t' && c != '\n' && c != '\r') || c == 0x7f;
         if (n == 0 || control) {
--- /dev/null
+++ b/src/profile/parse.cpp
@@ -0,0 +1,197 @@
+#include "profile/pattern.h"
+
+#include <kingcupseam/config.h>
+#include <kingcupseam/error.h>
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+namespace kingcupseam::profile {
+
+namespace {
+
+using config::table;
+
+constexpr std::size_t max_services = 16;
+constexpr std::size_t max_rules = 64;
+// Urgent work is served first; what the shares leave free is what it can count on during a flood.
+constexpr double max_share_sum = 0.9;
+
+const std::vector<std::string>& methods() {
+    static const std::vector<std::string> names{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
+    return names;
+}
+
+std::string read_name(const table& source, const std::string& key) {
+    std::string name = source.text(key, 1, 64);
+    const auto allowed = [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
+    };
+    if (!std::all_of(name.begin(), name.end(), allowed)) {
+        source.fail(key, "must consist of [A-Za-z0-9._-]");
+    }
+    return name;
+}
+
+bool valid_literal(std::string_view segment) {
+    const auto allowed = [](unsigned char c) {
+        return std::isalnum(c) != 0 ||
+               std::string_view("-._~!$&'()*+,;=:@").find(static_cast<char>(c)) != std::string_view::npos;
+    };
+    return !segment.empty() && segment != "." && segment != ".." &&
+           std::all_of(segment.begin(), segment.end(), allowed);
+}
+
+std::string read_path(const table& source) {
+    std::string path = source.text("path", 2, 512);
+    const segment_list segments = split_path(path);
+    if (segments.count == 0) {
+        source.fail("path",
+                    "must start with / and have at most " + std::to_string(max_segments) + " segments");
+    }
+    std::size_t keys = 0;
+    for (std::size_t n = 0; n < segments.count; ++n) {
+        const std::string_view it = segments.items[n];
+        keys += it == key_placeholder ? 1 : 0;
+        if (!is_placeholder(it) && !valid_literal(it)) {
+            source.fail("path", "a segment must be {key}, {any} or unescaped path characters");
+        }
+    }
+    if (keys != 1) {
+        source.fail("path", "must have exactly one {key}");
+    }
+    return path;
+}
+
+rule read_rule(const table& source) {
+    rule result;
+    result.method = methods()[source.word("method", methods())];
+    result.path = read_path(source);
+    result.priority = static_cast<rank>(source.word("rank", {"urgent", "standard", "deferrable"}));
+    result.runs = static_cast<execution>(source.word("runs", {"idempotent", "at-most-once"}));
+    result.deadline = source.milliseconds("deadline_ms", 1, 60'000, result.deadline);
+    result.max_body_bytes = static_cast<std::size_t>(
+        source.integer("max_body_bytes", 0, 1'048'576, static_cast<std::int64_t>(result.max_body_bytes)));
+    source.finish();
+    return result;
+}
+
+service read_service(const table& source) {
+    service result;
+    result.name = read_name(source, "name");
+    result.shards =
+        static_cast<std::uint32_t>(source.integer("shards", 1, 65'536, std::int64_t{result.shards}));
+    const auto rules = source.tables("rules");
+    if (rules.empty() || rules.size() > max_rules) {
+        source.fail("rules", "must have 1 to " + std::to_string(max_rules) + " entries");
+    }
+    for (const auto& it : rules) {
+        result.rules.push_back(read_rule(it));
+    }
+    source.finish();
+    return result;
+}
+
+std::vector<service> read_services(const table& root) {
+    const auto rows = root.tables("services");
+    if (rows.empty() || rows.size() > max_services) {
+        root.fail("services", "must have 1 to " + std::to_string(max_services) + " entries");
+    }
+    std::vector<service> result;
+    std::set<std::string> names;
+    for (const auto& it : rows) {
+        result.push_back(read_service(it));
+        if (!names.insert(result.back().name).second) {
+            it.fail("name", "is used by two services");
+        }
+    }
+    return result;
+}
+
+void check_rules(const std::string& source, const std::vector<service>& services) {
+    for (std::size_t a = 0; a < services.size(); ++a) {
+        for (std::size_t b = a; b < services.size(); ++b) {
+            check_disjoint(source, services[a], services[b]);
+        }
+    }
+}
+
+rank_settings read_rank(const table& source) {
+    rank_settings result;
+    result.guaranteed_share = source.real("guaranteed_share", 0, max_share_sum, result.guaranteed_share);
+    result.max_waiting = static_cast<std::uint32_t>(
+        source.integer("max_waiting", 1, 65'536, std::int64_t{result.max_waiting}));
+    source.finish();
+    return result;
+}
+
+void read_ranks(const table& root, profile& result) {
+    const auto ranks = root.sub("ranks");
+    if (!ranks) {
+        return;
+    }
+    double sum = 0;
+    for (const rank it : all_ranks) {
+        if (const auto settings = ranks->sub(std::string(to_string(it)))) {
+            result.ranks[static_cast<std::size_t>(it)] = read_rank(*settings);
+        }
+        sum += result.ranks[static_cast<std::size_t>(it)].guaranteed_share;
+    }
+    ranks->finish();
+    // Shares are decimal fractions; their binary sum may exceed 0.9 by rounding only.
+    if (sum > max_share_sum + 1e-9) {
+        root.fail("ranks", "the guaranteed shares must sum to at most 0.9");
+    }
+}
+
+void read_retries(const table& root, profile& result) {
+    const auto retries = root.sub("retries");
+    if (!retries) {
+        return;
+    }
+    retry_settings& it = result.retries;
+    it.budget_fraction = retries->real("budget_fraction", 0, 1, it.budget_fraction);
+    it.max_attempts =
+        static_cast<std::uint32_t>(retries->integer("max_attempts", 1, 10, std::int64_t{it.max_attempts}));
+    it.first_backoff = retries->milliseconds("first_backoff_ms", 1, 10'000, it.first_backoff);
+    it.max_backoff = retries->milliseconds("max_backoff_ms", 1, 60'000, it.max_backoff);
+    retries->finish();
+    if (it.first_backoff > it.max_backoff) {
+        retries->fail("first_backoff_ms", "must be at most max_backoff_ms");
+    }
+}
+
+void check_retention(const table& root, const profile& all) {
+    for (const auto& it : all.services) {
+        for (const auto& rule : it.rules) {
+            if (rule.runs == execution::at_most_once && rule.deadline > all.ledger_retention) {
+                root.fail("ledger_retention_s", "must cover the longest deadline of at-most-once work, or a "
+                                                "request could outlive its record");
+            }
+        }
+    }
+}
+
+} // namespace
+
+profile parse_profile(const std::string& source, const std::string& text) {
+    if (text.size() > max_content_bytes) {
+        throw invalid_input(source, "text",
+                            "must be at most " + std::to_string(max_content_bytes) + " bytes");
+    }
+    const table root = table::parse(source, text);
+    profile result;
+    result.name = read_name(root, "name");
+    result.ledger_retention = root.seconds("ledger_retention_s", 1, 86'400, result.ledger_retention);
+    result.home_hold = root.seconds("home_hold_s", 1, 604'800, result.home_hold);
+    read_ranks(root, result);
+    read_retries(root, result);
+    result.services = read_services(root);
+    root.finish();
+    check_rules(source, result.services);
+    check_retention(root, result);
+    return result;
+}
+
+} // namespace kingcupseam::profile
--- /dev/null
+++ b/src/profile/store.cpp
@@ -0,0 +1,247 @@
+#include "profile/pattern.h"
+
+#include <kingcupseam/encoding.h>
+#include <kingcupseam/error.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace kingcupseam::profile {
+
+namespace {
+
+constexpr std::uint8_t change_format = 1;
+constexpr std::uint8_t store_format = 1;
+constexpr std::size_t max_change_id = 64;
+// Conflicts are remembered with the content that won. This bounds them in the snapshot; a change that was
+// forgotten early gets a conflict when it is resent, since its base version is no longer in force.
+constexpr std::size_t max_recent_bytes = 8'388'608;
+constexpr std::size_t max_services_ever = 4096;
+
+bool valid_change_id(const std::string& id) {
+    return !id.empty() && id.size() <= max_change_id &&
+           std::all_of(id.begin(), id.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
+std::uint64_t digest_of(const change& wanted) {
+    const std::string bytes = encode(wanted);
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+change_result refused(const std::string& problem) {
+    return {change_status::invalid, {}, problem};
+}
+
+void write(encoding::encoder& out, const accepted_profile& value) {
+    out.text(value.name).u64(value.version).text(value.content).text(value.change_id);
+}
+
+accepted_profile read_accepted(encoding::decoder& in) {
+    accepted_profile value;
+    value.name = in.text();
+    value.version = in.u64();
+    value.content = in.text();
+    value.change_id = in.text();
+    return value;
+}
+
+change_status read_status(encoding::decoder& in) {
+    const std::uint8_t value = in.u8();
+    if (value > static_cast<std::uint8_t>(change_status::invalid)) {
+        in.fail("a status must be 0 to 2");
+    }
+    return static_cast<change_status>(value);
+}
+
+std::shared_ptr<const profile> try_parse(const accepted_profile& source) {
+    try {
+        return std::make_shared<const profile>(parse_profile(source.name, source.content));
+    } catch (const invalid_input&) {
+        // The content was valid when it was accepted. A snapshot stays loadable when a later release is
+        // stricter; using the profile then fails in rule_index with the reason.
+        return nullptr;
+    }
+}
+
+} // namespace
+
+store::store() = default;
+
+change_result store::apply(const change& wanted) {
+    if (!valid_change_id(wanted.change_id)) {
+        return refused("change_id must be 1 to 64 visible ASCII characters");
+    }
+    const std::uint64_t digest = digest_of(wanted);
+    for (const auto& it : recent_) {
+        if (it.change_id != wanted.change_id) {
+            continue;
+        }
+        if (it.digest != digest) {
+            return refused("change_id was already used for another change");
+        }
+        change_result result = it.result;
+        if (result.status == change_status::accepted) {
+            result.in_force.content = wanted.content;
+        }
+        return result;
+    }
+    change_result result = decide(wanted);
+    if (result.status == change_status::accepted) {
+        const auto parsed = try_parse(result.in_force);
+        for (const auto& it : parsed->services) {
+            shard_counts_.emplace(it.name, it.shards);
+        }
+        profiles_[wanted.name] = {result.in_force, parsed};
+    }
+    remember(wanted, result);
+    return result;
+}
+
+change_result store::decide(const change& wanted) const {
+    const auto it = profiles_.find(wanted.name);
+    const std::uint64_t version = it == profiles_.end() ? 0 : it->second.accepted.version;
+    if (wanted.base_version != version) {
+        accepted_profile in_force = it == profiles_.end() ? accepted_profile{} : it->second.accepted;
+        return {change_status::conflict, std::move(in_force), "base_version is not the version in force"};
+    }
+    try {
+        check_against_others(wanted.name, parse_profile(wanted.name, wanted.content));
+    } catch (const invalid_input& e) {
+        return refused(e.what());
+    }
+    return {change_status::accepted, {wanted.name, version + 1, wanted.content, wanted.change_id}, ""};
+}
+
+void store::check_against_others(const std::string& name, const profile& wanted) const {
+    if (wanted.name != name) {
+        throw invalid_input(name, "name", "must be the name under which the profile is accepted");
+    }
+    std::size_t others = 0;
+    for (const auto& [other_name, other] : profiles_) {
+        if (other_name == name) {
+            continue;
+        }
+        ++others;
+        for (const auto& theirs : other.parsed ? other.parsed->services : std::vector<service>{}) {
+            for (const auto& ours : wanted.services) {
+                if (theirs.name == ours.name) {
+                    throw invalid_input(wanted.name, ours.name,
+                                        "is already a service of profile " + other_name);
+                }
+                check_disjoint(wanted.name, theirs, ours);
+            }
+        }
+    }
+    if (others >= max_profiles) {
+        throw invalid_input(wanted.name, "name", "there are already 64 profiles");
+    }
+    std::size_t fresh = 0;
+    for (const auto& it : wanted.services) {
+        const auto known = shard_counts_.find(it.name);
+        fresh += known == shard_counts_.end() ? 1 : 0;
+        if (known != shard_counts_.end() && known->second != it.shards) {
+            throw invalid_input(wanted.name, it.name + ".shards",
+                                "is fixed at " + std::to_string(known->second) +
+                                    " since the service was first accepted");
+        }
+    }
+    if (shard_counts_.size() + fresh > max_services_ever) {
+        throw invalid_input(wanted.name, "services", "the system has had 4096 services already");
+    }
+}
+
+void store::remember(const change& wanted, const change_result& result) {
+    answer kept{wanted.change_id, digest_of(wanted), result};
+    if (result.status == change_status::accepted) {
+        kept.result.in_force.content.clear();
+    }
+    recent_bytes_ += kept.result.in_force.content.size();
+    recent_.push_back(std::move(kept));
+    while (recent_.size() > max_remembered_changes || recent_bytes_ > max_recent_bytes) {
+        recent_bytes_ -= recent_.front().result.in_force.content.size();
+        recent_.pop_front();
+    }
+}
+
+std::vector<accepted_profile> store::all() const {
+    std::vector<accepted_profile> result;
+    result.reserve(profiles_.size());
+    for (const auto& [name, it] : profiles_) {
+        result.push_back(it.accepted);
+    }
+    return result;
+}
+
+std::optional<accepted_profile> store::find(const std::string& name) const {
+    const auto it = profiles_.find(name);
+    return it == profiles_.end() ? std::nullopt : std::optional(it->second.accepted);
+}
+
+std::string store::encode() const {
+    encoding::encoder out(store_format);
+    out.u32(static_cast<std::uint32_t>(profiles_.size()));
+    for (const auto& [name, it] : profiles_) {
+        write(out, it.accepted);
+    }
+    out.u32(static_cast<std::uint32_t>(shard_counts_.size()));
+    for (const auto& [name, shards] : shard_counts_) {
+        out.text(name).u32(shards);
+    }
+    out.u32(static_cast<std::uint32_t>(recent_.size()));
+    for (const auto& it : recent_) {
+        out.text(it.change_id).u64(it.digest).u8(static_cast<std::uint8_t>(it.result.status));
+        write(out, it.result.in_force);
+        out.text(it.result.problem);
+    }
+    return out.take();
+}
+
+store store::decode(const std::string& bytes) {
+    constexpr std::size_t accepted_bytes = 4 + 8 + 4 + 4;
+    encoding::decoder in("profile store", bytes, store_format);
+    store result;
+    for (std::uint32_t n = in.length(accepted_bytes); n > 0; --n) {
+        accepted_profile it = read_accepted(in);
+        auto parsed = try_parse(it);
+        result.profiles_[it.name] = {it, std::move(parsed)};
+    }
+    for (std::uint32_t n = in.length(8); n > 0; --n) {
+        const std::string name = in.text();
+        result.shard_counts_[name] = in.u32();
+    }
+    for (std::uint32_t n = in.length(accepted_bytes + 17); n > 0; --n) {
+        answer it;
+        it.change_id = in.text();
+        it.digest = in.u64();
+        it.result.status = read_status(in);
+        it.result.in_force = read_accepted(in);
+        it.result.problem = in.text();
+        result.recent_bytes_ += it.result.in_force.content.size();
+        result.recent_.push_back(std::move(it));
+    }
+    in.finish();
+    return result;
+}
+
+std::string encode(const change& wanted) {
+    return encoding::encoder(change_format)
+        .text(wanted.name)
+        .u64(wanted.base_version)
+        .text(wanted.change_id)
+        .text(wanted.content)
+        .take();
+}
+
+change decode_change(const std::string& bytes) {
+    encoding::decoder in("profile change", bytes, change_format);
+    change result;
+    result.name = in.text();
+    result.base_version = in.u64();
+    result.change_id = in.text();
+    result.content = in.text();
+    in.finish();
+    return result;
+}
+
+} // namespace kingcupseam::profile
--- a/tests/encoding/encoding_test.cpp
+++ b/tests/encoding/encoding_test.cpp
@@ -59,3 +59,17 @@
         CHECK_THROWS_AS(in.boolean(), invalid_input);
     }
 }
+
+TEST_CASE("text from outside is safe to repeat in headers and JSON") {
+    CHECK(encoding::is_plain_text("raft 7 d\xc3\xa9p\xc3\xb4t"));
+    SUBCASE("a line break would split a header") {
+        CHECK_FALSE(encoding::is_plain_text("a\r\nb"));
+    }
+    SUBCASE("malformed UTF-8 would make a JSON answer fail") {
+        CHECK_FALSE(encoding::is_plain_text("a\xff"));
+        CHECK_FALSE(encoding::is_plain_text("a\xe2\x82"));
+    }
+    SUBCASE("an empty text has no first character") {
+        CHECK(encoding::utf8_length("") == 0);
+    }
+}
