--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -7,6 +7,14 @@
 kingcupseam_library(config types encoding)
 kingcupseam_library(metrics types)
 kingcupseam_library(statechart config)
+# The charts are part of the binary, so an instance cannot run with charts of another version.
+file(GLOB chart_files CONFIGURE_DEPENDS charts/*.toml)
+add_custom_command(
+  OUTPUT ${PROJECT_BINARY_DIR}/embedded_charts.cpp
+  COMMAND ${CMAKE_COMMAND} -DCHARTS=${PROJECT_SOURCE_DIR}/charts -DOUTPUT=${PROJECT_BINARY_DIR}/embedded_charts.cpp
+          -P ${PROJECT_SOURCE_DIR}/cmake/embed_charts.cmake
+  DEPENDS ${chart_files} cmake/embed_charts.cmake)
+target_sources(kingcupseam_statechart PRIVATE ${PROJECT_BINARY_DIR}/embedded_charts.cpp)
 kingcupseam_library(profile config)
 kingcupseam_library(settings config)
 kingcupseam_library(storage types)
--- a/include/kingcupseam/statechart.h
+++ b/include/kingcupseam/statechart.h
@@ -30,6 +30,7 @@
 
 /// States with their transitions, read from TOML:
 /// name, initial, events = [...], [[state]] name, final?, on = { event = "target" }.
+/// Every state is reachable, every event is used, and exactly the final states have no transitions.
 struct chart {
     std::string name;
     std::string initial;
@@ -51,7 +52,7 @@
 /// Mermaid state diagram for the docs.
 std::string to_mermaid(const chart& source);
 
-/// One running instance of a chart.
+/// One running instance of a chart, which must outlive it.
 class machine {
 public:
     explicit machine(const chart& source);
