Add ledger: replica and writer with the at-most-once rules

Records carry an attempt number, so that a late not_run of one attempt cannot hide a later attempt that was dispatched. A gate that could not read the window answers in_doubt: the key may have run under another gate, and not-run would then be false.

--- a/include/kingcupseam/ledger.h
+++ b/include/kingcupseam/ledger.h
@@ -17,8 +17,9 @@
 struct record {
     std::string service;
     std::uint32_t shard = 0;
-    std::string key; ///< idempotency key of the request
-    std::uint64_t epoch = 0;
+    std::string key;           ///< idempotency key of the request
+    std::uint64_t epoch = 0;   ///< epoch of the gate that began the attempt
+    std::uint64_t attempt = 0; ///< set by the writer; orders the attempts of one key within an epoch
     record_state state = record_state::begun;
     int status = 0;     ///< HTTP status of a recorded answer
     std::string answer; ///< body and content type of a recorded answer, bounded by max_answer_bytes
@@ -45,21 +46,43 @@
     std::vector<record> window;
 };
 
+/// What one replica holds of a shard.
+struct shard_window {
+    std::string service;
+    std::uint32_t shard = 0;
+    std::uint64_t sealed_epoch = 0;
+    std::vector<record> records;
+    auto operator<=>(const shard_window&) const = default;
+};
+
+/// How a replica starts.
+enum class replica_start : std::uint8_t {
+    new_group,       ///< the ledger group is new: an empty window is complete
+    awaiting_install ///< replaces a lost replica: refuses writes and seals until the first install()
+};
+
 /// One replica of the ledgers of some shards. Refuses writes of an epoch below the highest it saw for the
 /// shard.
 class replica {
 public:
-    explicit replica(replica_options settings);
+    explicit replica(replica_options settings, replica_start start = replica_start::new_group);
 
-    /// Merges @p wanted: `begun` never replaces another state; `answered` and `not_run` replace `begun`. A
-    /// key whose record is `not_run` may begin again. When the window is full of records within their
-    /// retention, the write is refused rather than an old record forgotten.
+    /// Merges @p wanted. `begun` is accepted for an absent key, after a `not_run` record of an earlier
+    /// attempt, and over a `begun` record of an earlier attempt of the same epoch. `answered` replaces
+    /// `begun` and `not_run`. `not_run` replaces `begun` of the same epoch, unless that is a later attempt.
+    /// When the window is full of records within their retention, the write is refused rather than an old
+    /// record forgotten; an answer longer than the bound is refused and its record stays `begun`.
     write_result write(const record& wanted, time_point now);
     /// Raises the shard's epoch and returns its window.
     seal_result seal(const std::string& service, std::uint32_t shard, std::uint64_t epoch, time_point now);
-    /// Takes over a window copied from other replicas.
-    void install(const std::vector<record>& window, time_point now);
+    /// Takes over windows copied from other replicas and serves from then on. A record at a majority of three
+    /// may be left at only one of the other two, so @p windows must hold the windows of both. They must have
+    /// been read with seal() at a new epoch of the shard; otherwise a write that the lost replica accepted
+    /// could still be completed without this replica knowing it.
+    void install(const std::vector<shard_window>& windows, time_point now);
+    bool ready() const noexcept;
     std::size_t size() const noexcept;
+    /// Memory used by the records, estimated from their contents.
     std::size_t bytes() const noexcept;
 
 private:
@@ -69,13 +92,18 @@
 
 /// What the gate does with an at-most-once request.
 enum class verdict : std::uint8_t {
-    dispatch,    ///< recorded at a majority: run it now
-    wait,        ///< a duplicate of a request in progress at this gate; the answer will be delivered to both
-    answer,      ///< answered before: return the recorded answer
-    in_doubt,    ///< an earlier attempt may have run: `unknown`
-    conflict,    ///< the key was used for another request: `not-run`
-    unavailable, ///< no majority of the replicas: `not-run`
-    stale,       ///< a replica knows a higher epoch: this gate is fenced off; `not-run` and refresh the table
+    dispatch, ///< recorded at a majority: run it now
+    wait,     ///< never given to on_decision: a duplicate's decision is deferred until the request in
+              ///< progress at this gate ends, and is then `answer`, `in_doubt` or `unavailable`
+    answer,   ///< answered before: return the recorded answer
+    in_doubt, ///< an earlier attempt may have run: `unknown`. Also, with no record in decision::known, when
+              ///< no majority let this gate read the window, since the key may have run before
+    conflict, ///< the key was used for another request: `not-run`
+    unavailable, ///< the window shows no run, and no majority recorded the attempt or the upstream did not
+                 ///< start it: `not-run` while the gate's lease of the epoch in decision::known is valid,
+                 ///< else `unknown`, since another gate may have run the key
+    stale,       ///< a replica knows a higher epoch: this gate did not and will not run it, but its successor
+                 ///< may have. Refresh the table and forward the request; `unknown` when that fails
 };
 
 struct decision {
@@ -93,23 +121,33 @@
 };
 
 /// Majority logic of a gate over the replicas of its shards. Single-threaded; has no clock and no socket.
+///
+/// `unavailable` and `stale` are reported as `not-run` although a `begun` record may remain at a minority:
+/// only the writer that made a record may dispatch it, and it has given the attempt up for good. A remaining
+/// record can only turn later attempts into `in_doubt`. The writer sends a `not_run` record after it, so that
+/// a resend can usually begin again.
 class writer {
 public:
     using on_decision = std::function<void(const decision&)>;
     using on_done = std::function<void(bool majority)>;
 
-    writer(duration operation_timeout);
+    /// @param retention how long the replicas keep a record; the writer remembers it a quarter longer
+    explicit writer(duration operation_timeout, duration retention = std::chrono::minutes(10));
 
-    /// Prepares to run a request. Seals and reads the shard first when this gate has not done so at @p epoch.
-    /// @param replicas names of the shard's ledger replicas
+    /// Prepares to run a request. Seals and reads the shard first when this gate has not done so at the epoch
+    /// of @p wanted with these replicas. An epoch belongs to one lifetime of one gate.
+    /// @param replicas names of the shard's ledger replicas; a replaced replica needs a new epoch
     /// @returns messages to send; @p done is called once, possibly before this returns
     std::vector<outgoing> begin(const record& wanted, const std::vector<std::string>& replicas,
-                                on_decision done, time_point now);
-    /// Records the result. Duplicates that wait get it at once; resends get it from the window.
-    std::vector<outgoing> finish(const record& result, const std::vector<std::string>& replicas, on_done done,
-                                 time_point now);
+                                const on_decision& done, time_point now);
+    /// Records the result of a dispatched request: `answered`, or `not_run` when the upstream confirmed that
+    /// it did not start. Duplicates that wait get it at once; resends get it from the window. A result for a
+    /// key that this writer did not dispatch is ignored.
+    /// @param done called once; false means that later gates may answer `unknown`
+    std::vector<outgoing> finish(const record& result, const std::vector<std::string>& replicas,
+                                 const on_done& done, time_point now);
     /// The outcome of a dispatched request is not known: later resends get in_doubt, waiting duplicates get
-    /// it now.
+    /// it now. A later finish() may still record the answer.
     void abandon(const std::string& service, std::uint32_t shard, const std::string& key);
 
     std::vector<outgoing> on_write_reply(std::uint64_t operation, const std::string& from,
@@ -119,6 +157,7 @@
     std::vector<outgoing> on_replica_failed(std::uint64_t operation, const std::string& from, time_point now);
     /// Fails operations that are older than the timeout.
     std::vector<outgoing> tick(time_point now);
+    /// Operations that still wait for replies.
     std::size_t pending() const noexcept;
 
 private:
--- /dev/null
+++ b/src/ledger/creation_time.cpp
@@ -0,0 +1,33 @@
+#include <kingcupseam/ledger.h>
+
+#include <cctype>
+
+namespace kingcupseam::ledger {
+namespace {
+
+bool has_uuid_form(const std::string& text) {
+    if (text.size() != 36) {
+        return false;
+    }
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const bool dash = n == 8 || n == 13 || n == 18 || n == 23;
+        if (dash ? text[n] != '-' : std::isxdigit(static_cast<unsigned char>(text[n])) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<std::chrono::system_clock::time_point> creation_time(const std::string& idempotency_key) {
+    if (!has_uuid_form(idempotency_key) || idempotency_key[14] != '7' ||
+        std::string("89abAB").find(idempotency_key[19]) == std::string::npos) {
+        return std::nullopt;
+    }
+    const std::string digits = idempotency_key.substr(0, 8) + idempotency_key.substr(9, 4);
+    const std::chrono::milliseconds since_epoch(std::stoll(digits, nullptr, 16));
+    return std::chrono::system_clock::time_point(since_epoch);
+}
+
+} // namespace kingcupseam::ledger
--- /dev/null
+++ b/src/ledger/writer_replies.cpp
@@ -0,0 +1,295 @@
+// Majority counting: operations, replies of replicas and timeouts.
+#include "ledger/order.h"
+#include "ledger/writer_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupseam::ledger {
+
+using phase = key_entry::phase;
+
+namespace {
+
+bool in_progress(const key_entry& entry) {
+    return entry.stage == phase::writing || entry.stage == phase::dispatched;
+}
+
+} // namespace
+
+bool operation::count(const std::string& from, bool accepts) {
+    const bool member = std::find(replicas.begin(), replicas.end(), from) != replicas.end();
+    if (!member || !replied.insert(from).second) {
+        return false;
+    }
+    if (accepts) {
+        accepted.insert(from);
+    }
+    return true;
+}
+
+operation& writer::state::start(operation wanted, effects& out) {
+    wanted.id = ++last_operation_;
+    wanted.started = now;
+    operation& stored = operations.emplace(wanted.id, std::move(wanted)).first->second;
+    send(stored, out);
+    if (stored.replicas.empty()) {
+        evaluate(stored, out);
+    }
+    return stored;
+}
+
+void writer::state::send(const operation& wanted, effects& out) const {
+    for (const auto& it : wanted.replicas) {
+        if (wanted.replied.contains(it)) {
+            continue;
+        }
+        outgoing message{wanted.id, it, {}, {}, wanted.epoch};
+        if (wanted.kind == operation::type::seal) {
+            message.seal = wanted.shard;
+        } else {
+            message.write = wanted.wanted;
+        }
+        out.messages.push_back(std::move(message));
+    }
+}
+
+void writer::state::start_seal(gate_shard& shard, const shard_id& id, effects& out) {
+    operation wanted;
+    wanted.kind = operation::type::seal;
+    wanted.shard = id;
+    wanted.epoch = shard.epoch;
+    wanted.replicas = shard.replicas;
+    shard.seal_operation = last_operation_ + 1;
+    start(std::move(wanted), out);
+}
+
+void writer::state::on_write(std::uint64_t id, const std::string& from, const write_result& reply,
+                             effects& out) {
+    const auto it = operations.find(id);
+    if (it == operations.end() || it->second.kind == operation::type::seal ||
+        !it->second.count(from, reply.accepted)) {
+        return;
+    }
+    operation& current = it->second;
+    if (current.kind == operation::type::begin && !reply.accepted) {
+        if (reply.sealed_epoch > current.epoch) {
+            fence(current, out);
+            return;
+        }
+        if (reply.existing && reply.existing->state == record_state::answered) {
+            learn_existing(current, *reply.existing, out);
+            return;
+        }
+        current.foreign_begun =
+            current.foreign_begun || (reply.existing && reply.existing->state == record_state::begun);
+    }
+    evaluate(current, out);
+}
+
+void writer::state::on_seal(std::uint64_t id, const std::string& from, const seal_result& reply,
+                            effects& out) {
+    const auto it = operations.find(id);
+    if (it == operations.end() || it->second.kind != operation::type::seal ||
+        !it->second.count(from, reply.accepted)) {
+        return;
+    }
+    operation& current = it->second;
+    if (!reply.accepted && reply.sealed_epoch > current.epoch && !current.decided) {
+        fence(current, out);
+        return;
+    }
+    for (const auto& seen : reply.window) {
+        const auto known = current.window.find(seen.key);
+        if (known == current.window.end() || supersedes(seen, known->second)) {
+            current.window[seen.key] = seen;
+        }
+    }
+    evaluate(current, out);
+}
+
+void writer::state::fail(std::uint64_t id, const std::string& from, effects& out) {
+    const auto it = operations.find(id);
+    if (it != operations.end() && it->second.count(from, false)) {
+        evaluate(it->second, out);
+    }
+}
+
+void writer::state::expire_operations(effects& out) {
+    while (!operations.empty() && operations.begin()->second.started + operation_timeout <= now) {
+        operation& oldest = operations.begin()->second;
+        if (resend(oldest, out)) {
+            continue;
+        }
+        oldest.replied.insert(oldest.replicas.begin(), oldest.replicas.end());
+        evaluate(oldest, out);
+    }
+}
+
+bool writer::state::resend(operation& current, effects& out) {
+    if (current.resends_left == 0 || current.all_replied()) {
+        return false;
+    }
+    operation again = current;
+    --again.resends_left;
+    operations.erase(operations.find(current.id));
+    start(std::move(again), out);
+    return true;
+}
+
+void writer::state::evaluate(operation& current, effects& out) {
+    switch (current.kind) {
+    case operation::type::seal:
+        evaluate_seal(current, out);
+        break;
+    case operation::type::begin:
+        evaluate_begin(current, out);
+        break;
+    case operation::type::finish:
+        evaluate_finish(current, out);
+        break;
+    case operation::type::cleanup:
+        if (current.all_replied()) {
+            operations.erase(operations.find(current.id));
+        }
+        break;
+    }
+}
+
+void writer::state::evaluate_begin(operation& current, effects& out) {
+    if (current.has_majority()) {
+        key_entry& entry = shards.at(current.shard).keys.at(current.wanted.key);
+        entry.stage = phase::dispatched;
+        out.decide(entry.waiting.front(), verdict::dispatch, entry.known);
+        entry.waiting.erase(entry.waiting.begin());
+        operations.erase(operations.find(current.id));
+        return;
+    }
+    if (!current.cannot_succeed()) {
+        return;
+    }
+    const operation failed = std::move(current);
+    operations.erase(failed.id);
+    if (failed.foreign_begun) {
+        settle_begin(failed, verdict::in_doubt, failed.wanted, out);
+    } else {
+        record given_up = failed.wanted;
+        given_up.state = record_state::not_run;
+        settle_begin(failed, verdict::unavailable, given_up, out);
+        clean_up(failed, out);
+    }
+}
+
+void writer::state::learn_existing(operation& current, const record& existing, effects& out) {
+    const operation ended = std::move(current);
+    operations.erase(ended.id);
+    const bool same = existing.digest == ended.wanted.digest;
+    settle_begin(ended, same ? verdict::answer : verdict::conflict, existing, out);
+}
+
+void writer::state::settle_begin(const operation& current, verdict result, const record& known,
+                                 effects& out) {
+    gate_shard& shard = shards.at(current.shard);
+    key_entry& entry = shard.keys.at(current.wanted.key);
+    entry.known = known;
+    entry.stage = phase::settled;
+    for (const auto& waiter : std::exchange(entry.waiting, {})) {
+        out.decide(waiter, result, result == verdict::conflict ? std::nullopt : std::optional(known));
+    }
+    keep(shard, current.shard, current.wanted.key);
+}
+
+void writer::state::clean_up(const operation& failed, effects& out) {
+    operation wanted;
+    wanted.kind = operation::type::cleanup;
+    wanted.shard = failed.shard;
+    wanted.epoch = failed.epoch;
+    wanted.wanted = failed.wanted;
+    wanted.wanted.state = record_state::not_run;
+    wanted.replicas = failed.replicas;
+    start(std::move(wanted), out);
+}
+
+void writer::state::fence(operation& current, effects& out) {
+    const operation ended = std::move(current);
+    operations.erase(ended.id);
+    gate_shard& shard = shards.at(ended.shard);
+    if (ended.kind == operation::type::seal) {
+        end_seal(shard, verdict::stale, out);
+        return;
+    }
+    record given_up = ended.wanted;
+    given_up.state = record_state::not_run;
+    settle_begin(ended, verdict::stale, given_up, out);
+    clean_up(ended, out);
+}
+
+void writer::state::evaluate_finish(operation& current, effects& out) {
+    if (!current.has_majority() && !current.cannot_succeed()) {
+        return;
+    }
+    const operation ended = std::move(current);
+    operations.erase(ended.id);
+    const bool recorded = ended.has_majority();
+    auto& keys = shards.at(ended.shard).keys;
+    const auto it = keys.find(ended.wanted.key);
+    // An answer that the replicas do not keep is not kept here either: their bounds limit the memory.
+    if (!recorded && ended.wanted.state == record_state::answered && it != keys.end() &&
+        it->second.stage == phase::settled) {
+        it->second.known.state = record_state::begun;
+        it->second.known.answer.clear();
+    }
+    out.calls.emplace_back([done = ended.done, recorded] { done(recorded); });
+}
+
+void writer::state::evaluate_seal(operation& current, effects& out) {
+    gate_shard& shard = shards.at(current.shard);
+    if (!current.decided && current.cannot_succeed()) {
+        operations.erase(operations.find(current.id));
+        end_seal(shard, verdict::in_doubt, out);
+        return;
+    }
+    if (!current.has_majority()) {
+        return;
+    }
+    const bool first = !current.decided;
+    current.decided = true;
+    take_window(shard, current);
+    const shard_id id = current.shard;
+    if (current.all_replied()) {
+        operations.erase(operations.find(current.id));
+    }
+    if (first) {
+        shard.sealed = true;
+        shard.seal_operation = 0;
+        for (const auto& it : std::exchange(shard.waiting_for_seal, {})) {
+            proceed(shard, id, it, out);
+        }
+    }
+}
+
+void writer::state::take_window(gate_shard& shard, const operation& seal) {
+    for (const auto& [key, seen] : seal.window) {
+        const auto it = shard.keys.find(key);
+        const bool unknown = it == shard.keys.end();
+        // After the majority, a late window can only add answers: its `begun` records were never dispatched,
+        // and a gate may have gone on from its `not_run` records.
+        const bool late = shard.sealed && seen.state != record_state::answered;
+        if (late || (!unknown && (in_progress(it->second) || !supersedes(seen, it->second.known)))) {
+            continue;
+        }
+        shard.keys[key].known = seen;
+        shard.keys[key].stage = phase::settled;
+        keep(shard, seal.shard, key);
+    }
+}
+
+void writer::state::end_seal(gate_shard& shard, verdict result, effects& out) {
+    shard.seal_operation = 0;
+    shard.sealed = false;
+    for (const auto& it : std::exchange(shard.waiting_for_seal, {})) {
+        out.decide(it.done, result);
+    }
+}
+
+} // namespace kingcupseam::ledger
--- /dev/null
+++ b/src/ledger/writer_state.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <kingcupseam/ledger.h>
+
+#include <deque>
+#include <set>
+#include <unordered_map>
+
+namespace kingcupseam::ledger {
+
+using shard_id = std::pair<std::string, std::uint32_t>;
+
+/// A key of a shard as its gate knows it.
+struct key_entry {
+    enum class phase : std::uint8_t {
+        settled,    ///< known from a window or finished here
+        writing,    ///< `begun` is being recorded
+        dispatched, ///< may be running
+        abandoned,  ///< was dispatched here and its outcome is not known
+    };
+    record known;
+    phase stage = phase::settled;
+    std::vector<writer::on_decision> waiting; ///< the first is the request itself while it is being recorded
+    time_point expires;
+};
+
+struct waiting_begin {
+    record wanted;
+    writer::on_decision done;
+};
+
+struct gate_shard {
+    std::uint64_t epoch = 0;
+    bool sealed = false;
+    std::uint64_t seal_operation = 0;
+    std::vector<std::string> replicas;
+    std::vector<waiting_begin> waiting_for_seal;
+    std::unordered_map<std::string, key_entry> keys;
+};
+
+struct operation {
+    enum class type : std::uint8_t { seal, begin, finish, cleanup };
+    type kind = type::cleanup;
+    std::uint64_t id = 0;
+    shard_id shard;
+    std::uint64_t epoch = 0;
+    record wanted;
+    std::vector<std::string> replicas;
+    std::set<std::string> replied; ///< each replica counts once, however often it answers
+    std::set<std::string> accepted;
+    bool decided = false;       ///< a seal stays open for the last replica's window
+    bool foreign_begun = false; ///< a replica holds `begun` of another gate
+    int resends_left = 0;
+    time_point started;
+    std::unordered_map<std::string, record> window;
+    writer::on_done done;
+
+    std::size_t majority() const { return replicas.size() / 2 + 1; }
+    bool has_majority() const { return accepted.size() >= majority(); }
+    bool all_replied() const { return replied.size() == replicas.size(); }
+    bool cannot_succeed() const { return accepted.size() + (replicas.size() - replied.size()) < majority(); }
+    /// @returns true for the first reply of a replica of this operation
+    bool count(const std::string& from, bool accepts);
+};
+
+struct writer::state {
+    state(duration timeout, duration keep) : operation_timeout(timeout), retention(keep + keep / 4) {}
+
+    /// Messages to send and callbacks to run. Callbacks run last, since they may call the writer again.
+    struct effects {
+        std::vector<outgoing> messages;
+        std::vector<std::function<void()>> calls;
+
+        void decide(const on_decision& done, verdict result, std::optional<record> known = {});
+        std::vector<outgoing> run();
+    };
+
+    void begin(const waiting_begin& request, const std::vector<std::string>& replicas, effects& out);
+    void finish(const record& result, const on_done& done, effects& out);
+    void abandon(const shard_id& id, const std::string& key, effects& out);
+    void on_write(std::uint64_t id, const std::string& from, const write_result& reply, effects& out);
+    void on_seal(std::uint64_t id, const std::string& from, const seal_result& reply, effects& out);
+    void fail(std::uint64_t id, const std::string& from, effects& out);
+    void expire_operations(effects& out);
+    void drop_expired_keys();
+
+    duration operation_timeout;
+    duration retention;
+    time_point now;
+    std::map<std::uint64_t, operation> operations; ///< in the order of their start
+    std::map<shard_id, gate_shard> shards;
+
+private:
+    void change_configuration(gate_shard& shard, const shard_id& id, std::uint64_t epoch,
+                              const std::vector<std::string>& replicas, effects& out);
+    void start_seal(gate_shard& shard, const shard_id& id, effects& out);
+    void proceed(gate_shard& shard, const shard_id& id, const waiting_begin& request, effects& out);
+    void start_begin(gate_shard& shard, const shard_id& id, const waiting_begin& request, effects& out);
+    operation& start(operation wanted, effects& out);
+    void send(const operation& wanted, effects& out) const;
+    void evaluate(operation& current, effects& out);
+    void evaluate_begin(operation& current, effects& out);
+    void evaluate_finish(operation& current, effects& out);
+    void evaluate_seal(operation& current, effects& out);
+    void learn_existing(operation& current, const record& existing, effects& out);
+    void settle_begin(const operation& current, verdict result, const record& known, effects& out);
+    void clean_up(const operation& failed, effects& out);
+    void fence(operation& current, effects& out);
+    void take_window(gate_shard& shard, const operation& seal);
+    void end_seal(gate_shard& shard, verdict result, effects& out);
+    void keep(gate_shard& shard, const shard_id& id, const std::string& key);
+    bool resend(operation& current, effects& out);
+
+    struct key_expiry {
+        time_point at;
+        shard_id shard;
+        std::string key;
+    };
+    std::deque<key_expiry> expiries_;
+    std::uint64_t last_operation_ = 0;
+    std::uint64_t last_attempt_ = 0;
+};
+
+} // namespace kingcupseam::ledger
