Test the ledger: scripted scenarios, replies given by hand, a late not_run

One more broken variant shows that the checks detect a replica that lets the not_run of an earlier attempt replace a later one.

--- a/include/kingcupseam/ledger.h
+++ b/include/kingcupseam/ledger.h
@@ -29,8 +29,8 @@
 
 struct replica_options {
     std::size_t max_records = 200'000;
-    std::size_t max_answer_bytes = 16 * 1024;
-    std::size_t max_total_bytes = 32 * 1024 * 1024;
+    std::size_t max_answer_bytes = std::size_t{16} * 1024;
+    std::size_t max_total_bytes = std::size_t{32} * 1024 * 1024;
     duration retention = std::chrono::minutes(10);
 };
 
@@ -52,7 +52,7 @@
     std::uint32_t shard = 0;
     std::uint64_t sealed_epoch = 0;
     std::vector<record> records;
-    auto operator<=>(const shard_window&) const = default;
+    bool operator==(const shard_window&) const = default;
 };
 
 /// How a replica starts.
--- a/tests/ledger/random_test.cpp
+++ b/tests/ledger/random_test.cpp
@@ -126,6 +126,10 @@
         settings.not_run_without_lease = true;
         CHECK(detects(settings, "not-run while"));
     }
+    SUBCASE("a replica that lets a late not_run of the first attempt replace the second attempt") {
+        settings.late_not_run_replaces = true;
+        CHECK(detects(settings, "executed twice"));
+    }
     SUBCASE("a replica that returns an answer cut short") {
         settings.answers_cut = true;
         CHECK(detects(settings, "another answer"));
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -2,6 +2,8 @@
 
 #include <kingcupseam/ledger.h>
 
+#include <algorithm>
+
 using namespace kingcupseam;
 using namespace kingcupseam::ledger;
 using namespace std::chrono_literals;
@@ -118,7 +120,8 @@
             CHECK(copy.size() == 2);
             CHECK_FALSE(copy.write(make("x", 4, 1, record_state::begun), start).accepted);
             auto window = copy.seal("s", 1, 6, start).window;
-            std::sort(window.begin(), window.end());
+            std::sort(window.begin(), window.end(),
+                      [](const auto& l, const auto& r) { return l.key < r.key; });
             CHECK(window.at(0) == answered(3, 2));
             CHECK(window.at(1).state == record_state::begun);
         }
--- a/tests/ledger/world.h
+++ b/tests/ledger/world.h
@@ -29,6 +29,7 @@
     bool one_acceptance_is_enough = false;
     bool empty_replica_serves = false;
     bool not_run_without_lease = false;
+    bool late_not_run_replaces = false;
     bool answers_cut = false;
 };
 
@@ -217,6 +218,13 @@
             raised.epoch = reply.sealed_epoch;
             reply = target.copy.write(raised, now_);
         }
+        if (options_.late_not_run_replaces && !reply.accepted && reply.existing &&
+            wanted.state == record_state::not_run) {
+            record later = *reply.existing;
+            later.state = record_state::not_run;
+            later.epoch = wanted.epoch;
+            reply = target.copy.write(later, now_);
+        }
         reply_later(from, [message, reply](ledger::writer& it, time_point now) {
             return it.on_write_reply(message.operation, message.replica, reply, now);
         });
@@ -314,6 +322,10 @@
                 violations_.push_back("executed twice: " + s.key);
             }
             executed_.insert({s.key, s.digest});
+            const auto denied = not_run_told_.find({s.key, s.digest});
+            if (denied != not_run_told_.end() && denied->second > id) {
+                violations_.push_back("ran after a later request was told not-run: " + s.key);
+            }
             run.state = record_state::answered;
             run.status = 200;
             run.answer = answers_[s.key] = "answer to " + s.key + " " + std::to_string(id);
@@ -347,6 +359,9 @@
         if (result == told::not_run && (executed_.contains(request) || in_flight_[request] > 0)) {
             violations_.push_back("not-run while it ran or may run: " + s.key);
         }
+        if (result == told::not_run) {
+            not_run_told_[request] = id;
+        }
         if (result == told::ran && answer != answers_[s.key]) {
             violations_.push_back("another answer than the recorded one: " + s.key);
         }
@@ -367,6 +382,7 @@
     std::map<std::string, std::string> answers_;
     std::set<std::pair<std::string, std::string>> executed_;
     std::map<std::pair<std::string, std::string>, int> in_flight_;
+    std::map<std::pair<std::string, std::string>, std::size_t> not_run_told_;
     std::vector<std::string> violations_;
 };
 
--- /dev/null
+++ b/tests/ledger/writer_test.cpp
@@ -0,0 +1,221 @@
+#include <doctest/doctest.h>
+
+#include <kingcupseam/ledger.h>
+
+using namespace kingcupseam;
+using namespace kingcupseam::ledger;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{1s};
+const std::vector<std::string> names{"r1", "r2", "r3"};
+
+record make(const std::string& key, std::uint64_t epoch = 5) {
+    return {"s", 1, key, epoch, 0, record_state::begun, 0, "", "d"};
+}
+
+/// A writer whose replies are given by hand, sealed at epoch 5 with an empty window.
+struct by_hand {
+    writer tested{30ms, 10s};
+    std::vector<decision> told;
+
+    by_hand() {
+        const auto seal = begin(make("first"));
+        REQUIRE(seal.size() == 3);
+        REQUIRE(seal[0].seal);
+        tested.on_seal_reply(seal[0].operation, "r1", {true, 5, {}}, start);
+        const auto writes = tested.on_seal_reply(seal[0].operation, "r2", {true, 5, {}}, start);
+        REQUIRE(writes.size() == 3);
+        tested.on_seal_reply(seal[0].operation, "r3", {true, 5, {}}, start);
+        reply(writes[0].operation, "r1", true);
+        reply(writes[0].operation, "r2", true);
+        REQUIRE(told.size() == 1);
+        REQUIRE(told[0].result == verdict::dispatch);
+        told.clear();
+        REQUIRE(tested.pending() == 0);
+    }
+    std::vector<outgoing> begin(const record& wanted, time_point now = start) {
+        return tested.begin(
+            wanted, names, [this](const decision& it) { told.push_back(it); }, now);
+    }
+    std::vector<outgoing> reply(std::uint64_t operation, const std::string& from, bool accepted,
+                                std::optional<record> existing = {}, std::uint64_t epoch = 5) {
+        return tested.on_write_reply(operation, from, {accepted, epoch, std::move(existing)}, start);
+    }
+};
+
+} // namespace
+
+TEST_CASE("the writer counts each replica once and gives a failed attempt up for good") {
+    by_hand it;
+    const auto writes = it.begin(make("k"));
+    REQUIRE(writes.size() == 3);
+    const auto id = writes[0].operation;
+    SUBCASE("a replica that answers twice is not a majority, nor is a stranger") {
+        it.reply(id, "r1", true);
+        it.reply(id, "r1", true);
+        it.reply(id, "r9", true);
+        CHECK(it.told.empty());
+        it.reply(id, "r3", true);
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::dispatch);
+        it.reply(id, "r2", true);
+        CHECK(it.told.size() == 1);
+    }
+    SUBCASE("refused by one and timed out at another: a late acceptance must not dispatch") {
+        it.reply(id, "r1", true);
+        it.reply(id, "r2", false);
+        const auto cleanup = it.tested.tick(start + 30ms);
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::unavailable);
+        REQUIRE(cleanup.size() == 3);
+        CHECK(cleanup[0].write->state == record_state::not_run);
+        CHECK(cleanup[0].write->attempt == writes[0].write->attempt);
+        it.reply(id, "r3", true);
+        CHECK(it.told.size() == 1);
+        SUBCASE("a resend is a later attempt, so that the late not_run cannot hide it") {
+            const auto again = it.begin(make("k"));
+            REQUIRE(again.size() == 3);
+            CHECK(again[0].write->attempt > cleanup[0].write->attempt);
+        }
+        SUBCASE("the cleanup itself ends") {
+            it.tested.tick(start + 60ms);
+            CHECK(it.tested.pending() == 0);
+        }
+    }
+    SUBCASE("a record of another gate that was not in the window: in doubt unless a majority accepts") {
+        it.reply(id, "r1", false, make("k", 3));
+        it.reply(id, "r2", true);
+        CHECK(it.told.empty());
+        it.tested.on_replica_failed(id, "r3", start);
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::in_doubt);
+    }
+    SUBCASE("an answer found on the way is returned") {
+        record known = make("k", 3);
+        known.state = record_state::answered;
+        known.answer = "a";
+        it.reply(id, "r1", false, known);
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::answer);
+        CHECK(it.told[0].known->answer == "a");
+    }
+    SUBCASE("a higher epoch fences the gate at once") {
+        it.reply(id, "r1", true);
+        it.reply(id, "r2", false, {}, 9);
+        it.reply(id, "r3", true);
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::stale);
+    }
+    SUBCASE("duplicates wait and share the decision of a failed attempt") {
+        CHECK(it.begin(make("k")).empty());
+        it.tested.tick(start + 30ms);
+        REQUIRE(it.told.size() == 2);
+        CHECK(it.told[0].result == verdict::unavailable);
+        CHECK(it.told[1].result == verdict::unavailable);
+    }
+    SUBCASE("a higher epoch of the same gate seals again and ends what was being written") {
+        const auto seal = it.begin(make("other", 6));
+        REQUIRE(seal.size() == 3);
+        CHECK(seal[0].seal);
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::stale);
+        CHECK(it.begin(make("k", 5)).empty());
+        CHECK(it.told.back().result == verdict::stale);
+    }
+}
+
+TEST_CASE("results reach duplicates, and what the replicas refuse to keep is in doubt later") {
+    by_hand it;
+    record result = make("first");
+    result.state = record_state::answered;
+    result.answer = "a";
+    std::optional<bool> recorded;
+    const auto finish = [&](const record& wanted) {
+        return it.tested.finish(
+            wanted, names, [&](bool majority) { recorded = majority; }, start);
+    };
+    CHECK(it.begin(make("first")).empty());
+    SUBCASE("the waiting duplicate and a later resend get the recorded answer") {
+        const auto writes = finish(result);
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::answer);
+        it.reply(writes[0].operation, "r1", true);
+        CHECK_FALSE(recorded);
+        it.reply(writes[0].operation, "r2", true);
+        CHECK(recorded == true);
+        it.begin(make("first"));
+        CHECK(it.told.back().result == verdict::answer);
+        CHECK(it.told.back().known->answer == "a");
+    }
+    SUBCASE("lost writes of an answer are sent again, to the replicas that have not answered") {
+        const auto writes = finish(result);
+        it.reply(writes[0].operation, "r1", true);
+        const auto again = it.tested.tick(start + 30ms);
+        REQUIRE(again.size() == 2);
+        CHECK(again[0].replica == "r2");
+        it.reply(again[0].operation, "r3", true);
+        CHECK(recorded == true);
+    }
+    SUBCASE("an answer that a majority refuses makes later resends in doubt") {
+        const auto writes = finish(result);
+        it.reply(writes[0].operation, "r1", false);
+        it.reply(writes[0].operation, "r2", false);
+        CHECK(recorded == false);
+        it.begin(make("first"));
+        CHECK(it.told.back().result == verdict::in_doubt);
+    }
+    SUBCASE("an abandoned request is in doubt, until its late answer is recorded") {
+        it.tested.abandon("s", 1, "first");
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::in_doubt);
+        it.begin(make("first"));
+        CHECK(it.told.back().result == verdict::in_doubt);
+        CHECK(finish(result).size() == 3);
+        it.begin(make("first"));
+        CHECK(it.told.back().result == verdict::answer);
+    }
+    SUBCASE("a result for a key that was not dispatched here is ignored") {
+        record other = result;
+        other.key = "unknown";
+        CHECK(finish(other).empty());
+        CHECK(recorded == false);
+    }
+    SUBCASE("a key is remembered for longer than the replicas keep it, then dropped") {
+        finish(result);
+        it.begin(make("first"), start + 11s);
+        CHECK(it.told.back().result == verdict::answer);
+        CHECK(it.begin(make("first"), start + 13s).size() == 3);
+    }
+}
+
+TEST_CASE("a callback may call the writer again") {
+    writer tested(30ms);
+    bool recorded = false;
+    std::vector<outgoing> nested;
+    const auto on_decision = [&](const decision& it) {
+        record result = *it.known;
+        result.state = record_state::not_run;
+        nested = tested.finish(
+            result, {"r1"}, [&](bool majority) { recorded = majority; }, start);
+    };
+    const auto seal = tested.begin(make("k"), {"r1"}, on_decision, start);
+    const auto write = tested.on_seal_reply(seal.at(0).operation, "r1", {true, 5, {}}, start);
+    tested.on_write_reply(write.at(0).operation, "r1", {true, 5, {}}, start);
+    REQUIRE(nested.size() == 1);
+    tested.on_write_reply(nested[0].operation, "r1", {true, 5, {}}, start);
+    CHECK(recorded);
+}
+
+TEST_CASE("without replicas nothing is dispatched, and the caller is not told that the key never ran") {
+    writer tested(30ms);
+    std::optional<decision> told;
+    CHECK(tested
+              .begin(
+                  make("k"), {}, [&](const decision& it) { told = it; }, start)
+              .empty());
+    REQUIRE(told);
+    CHECK(told->result == verdict::in_doubt);
+    CHECK_FALSE(told->known);
+}
