--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -59,6 +59,7 @@
   6: i32 status
   7: binary answer
   8: string request_digest
+  9: i64 attempt
 }
 
 struct LedgerRecordReply {
--- a/src/app/instance/announcement.cpp
+++ b/src/app/instance/announcement.cpp
@@ -5,8 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 
 namespace kingcupseam::app {
 
@@ -30,11 +30,11 @@
 
 std::string name_field(const json& body, const char* name) {
     auto value = field<std::string>(body, name);
-    const bool valid = !value.empty() && value.size() <= max_name_length &&
-                       std::all_of(value.begin(), value.end(), [](char it) {
-                           return std::isalnum(static_cast<unsigned char>(it)) != 0 || it == '.' || it == '_' ||
-                                  it == '-';
-                       });
+    const bool valid =
+        !value.empty() && value.size() <= max_name_length &&
+        std::all_of(value.begin(), value.end(), [](char it) {
+            return std::isalnum(static_cast<unsigned char>(it)) != 0 || it == '.' || it == '_' || it == '-';
+        });
     if (!valid) {
         throw invalid_input(source_name, name, "must be 1 to 64 characters of [A-Za-z0-9._-]");
     }
@@ -99,11 +99,13 @@
 }
 
 http_response announcement_refused(const invalid_input& problem) {
-    return json_response(400, {{"source", problem.source()}, {"field", problem.field()}, {"problem", problem.what()}});
+    return json_response(
+        400, {{"source", problem.source()}, {"field", problem.field()}, {"problem", problem.what()}});
 }
 
 http_response announcement_unavailable() {
-    auto response = json_response(503, {{"problem", "the data centre group has no leader or the service no profile"}});
+    auto response =
+        json_response(503, {{"problem", "the data centre group has no leader or the service no profile"}});
     response.headers.emplace_back("Retry-After", "1");
     return response;
 }
--- a/src/app/instance/control.cpp
+++ b/src/app/instance/control.cpp
@@ -24,7 +24,8 @@
     return options;
 }
 
-membership::options membership_options_of(const settings::instance_settings& source, std::uint64_t incarnation) {
+membership::options membership_options_of(const settings::instance_settings& source,
+                                          std::uint64_t incarnation) {
     membership::options options;
     options.self.id = {source.name, incarnation};
     options.self.address = source.peer_listen;
@@ -39,15 +40,16 @@
 
 } // namespace
 
-control::control(asio::io_context& context, const settings::instance_settings& settings, std::uint64_t incarnation,
-                 metrics::registry& registry, observer callbacks)
+control::control(asio::io_context& context, const settings::instance_settings& settings,
+                 std::uint64_t incarnation, metrics::registry& registry, observer callbacks)
     : io_(context), settings_(settings), callbacks_(std::move(callbacks)),
       mesh_(context, {{settings.name, incarnation}, settings.data_center}, link_options_of(settings),
             [this](const auto& from, const transport::frame& received) { on_frame(from, received); }),
       shared_{context, settings, incarnation, mesh_, registry, {}},
       global_(shared_, [this](const auto& state) { on_global_state(state); }),
-      data_center_(shared_, global_,
-                   {[this](auto rows) { on_table(settings_.data_center, std::move(rows)); }, callbacks_.on_lease}),
+      data_center_(
+          shared_, global_,
+          {[this](auto rows) { on_table(settings_.data_center, std::move(rows)); }, callbacks_.on_lease}),
       detector_(membership_options_of(settings, incarnation), steady_now()), timer_(context),
       next_gossip_(steady_now()), random_(incarnation) {
     view_.self = settings.name;
@@ -56,8 +58,10 @@
         shared_.learn({it.name, 0, it.data_center, it.address});
     }
     server_ = std::make_unique<transport::peer_server>(
-        context, settings.peer_listen, transport::peer_identity{{settings.name, incarnation}, settings.data_center},
-        link_options_of(settings), [this](const auto& from, const transport::frame& it) { on_frame(from, it); });
+        context, settings.peer_listen,
+        transport::peer_identity{{settings.name, incarnation}, settings.data_center},
+        link_options_of(settings),
+        [this](const auto& from, const transport::frame& it) { on_frame(from, it); });
     datagrams_ = std::make_unique<transport::datagram_channel>(
         context, settings.peer_listen,
         [this](const endpoint_address& from, std::string_view payload) { on_datagram(from, payload); });
@@ -226,7 +230,8 @@
     try {
         send(detector_.receive(decode_membership_message(payload), from, steady_now()));
     } catch (const transport::malformed_frame&) {
-        shared_.registry.counter_of("kingcupseam_malformed_datagrams_total", "Membership datagrams that did not decode")
+        shared_.registry
+            .counter_of("kingcupseam_malformed_datagrams_total", "Membership datagrams that did not decode")
             .add();
     }
 }
@@ -284,7 +289,8 @@
     try {
         const auto announced = parse_announcement(request);
         data_center_.on_announce(announced, [this, reply](bool accepted) {
-            reply(accepted ? announcement_accepted(settings_.data_center, settings_.name) : announcement_unavailable());
+            reply(accepted ? announcement_accepted(settings_.data_center, settings_.name)
+                           : announcement_unavailable());
         });
     } catch (const invalid_input& e) {
         reply(announcement_refused(e));
@@ -305,7 +311,8 @@
 
 bool control::handed_over() const {
     const auto* rows = view_.local_table();
-    return rows == nullptr || std::none_of(rows->upstreams.begin(), rows->upstreams.end(), [this](const auto& it) {
+    return rows == nullptr ||
+           std::none_of(rows->upstreams.begin(), rows->upstreams.end(), [this](const auto& it) {
                return it.gate == settings_.name && it.condition != ownership::upstream_status::lost;
            });
 }
--- a/src/app/instance/control.h
+++ b/src/app/instance/control.h
@@ -14,8 +14,8 @@
 
 namespace kingcupseam::app {
 
-/// Everything that the control thread owns: both groups, membership, the newest routing view, and the listeners of
-/// other instances, upstreams and operators.
+/// Everything that the control thread owns: both groups, membership, the newest routing view, and the
+/// listeners of other instances, upstreams and operators.
 class control {
 public:
     struct observer {
--- a/src/app/instance/control_context.cpp
+++ b/src/app/instance/control_context.cpp
@@ -115,8 +115,8 @@
     }
     if (source.__isset.state) {
         result.state = storage::snapshot{static_cast<std::uint64_t>(source.state.index),
-                                         static_cast<std::uint64_t>(source.state.term), source.state.membership,
-                                         source.state.data};
+                                         static_cast<std::uint64_t>(source.state.term),
+                                         source.state.membership, source.state.data};
     }
     result.accepted = source.accepted;
     result.match_index = static_cast<std::uint64_t>(source.match_index);
--- a/src/app/instance/control_context.h
+++ b/src/app/instance/control_context.h
@@ -38,8 +38,8 @@
 wire::ConsensusMessage to_wire(const consensus::message& source);
 consensus::message from_wire(const wire::ConsensusMessage& source);
 
-/// Group numbers: the global group has 1; a data centre's group has a hash of its name with the generation in the low
-/// bits, so that messages of an earlier generation are dropped.
+/// Group numbers: the global group has 1; a data centre's group has a hash of its name with the generation in
+/// the low bits, so that messages of an earlier generation are dropped.
 inline constexpr std::uint64_t global_group_number = 1;
 std::uint64_t group_number(const std::string& data_center, std::uint64_t generation);
 
--- a/src/app/instance/data_center_leader.cpp
+++ b/src/app/instance/data_center_leader.cpp
@@ -1,4 +1,5 @@
-// Duties of the leader of a data centre group: gate leases, registration, planning, mirroring and publication.
+// Duties of the leader of a data centre group: gate leases, registration, planning, mirroring and
+// publication.
 #include "app/instance/data_center_tier.h"
 
 #include <kingcupseam/profile.h>
@@ -51,8 +52,8 @@
 }
 
 bool data_center_tier::supported(time_point now) const {
-    // A new generation needs reports of a majority of the configured instances; together with this rule the two can
-    // never act at once, whatever part of the data centre is cut off.
+    // A new generation needs reports of a majority of the configured instances; together with this rule the
+    // two can never act at once, whatever part of the data centre is cut off.
     const std::size_t size = std::max<std::size_t>(shared_.settings.data_center_size, 1);
     const std::size_t needed = size - size / 2;
     const auto recent = std::count_if(contacts_.begin(), contacts_.end(), [now](const auto& it) {
@@ -61,7 +62,8 @@
     return static_cast<std::size_t>(recent) >= needed;
 }
 
-wire::GateLeaseReply data_center_tier::on_lease_request(const wire::GateLeaseRequest& request, time_point now) {
+wire::GateLeaseReply data_center_tier::on_lease_request(const wire::GateLeaseRequest& request,
+                                                        time_point now) {
     wire::GateLeaseReply reply;
     reply.sequence = request.sequence;
     reply.generation = static_cast<std::int64_t>(generation_);
@@ -107,14 +109,17 @@
 }
 
 time_point data_center_tier::grant_bound(const ownership::upstream_row& row) const {
-    // Grants of the former leader's gates end within the gate lease that it may have renewed until it lost its quorum.
+    // Grants of the former leader's gates end within the gate lease that it may have renewed until it lost
+    // its quorum.
     time_point bound = led_since_ + gate_lease + drift_margin;
     for (const auto& [name, it] : contacts_) {
         const bool renews = row.gate == name && row.condition != ownership::upstream_status::lost;
         if (renews || it.applied_epoch < row.epoch) {
-            // It may renew the grant, or may have done so since its last report, but never past its own lease.
+            // It may renew the grant, or may have done so since its last report, but never past its own
+            // lease.
             bound = std::max(bound, it.lease_until);
-        } else if (const auto grant = it.grants_live_until.find(row.name); grant != it.grants_live_until.end()) {
+        } else if (const auto grant = it.grants_live_until.find(row.name);
+                   grant != it.grants_live_until.end()) {
             bound = std::max(bound, grant->second);
         }
     }
@@ -157,8 +162,8 @@
 void data_center_tier::plan_conditions(const ownership::table& rows, time_point now) {
     for (const auto& row : rows.upstreams) {
         const auto it = upstreams_.find(row.name);
-        if (rows.find(row.name) != &row || it == upstreams_.end() || it->second.incarnation != row.incarnation ||
-            it->second.reporting_gate != row.gate) {
+        if (rows.find(row.name) != &row || it == upstreams_.end() ||
+            it->second.incarnation != row.incarnation || it->second.reporting_gate != row.gate) {
             continue;
         }
         const auto health = it->second.health;
@@ -209,7 +214,8 @@
         }
         link->request({transport::frame_type::announce, 0, transport::encode(announced)}, gate_lease,
                       [done = std::move(done)](const transport::reply& it) {
-                          done(it.answer && transport::decode<wire::CommandReply>(it.answer->payload).committed);
+                          done(it.answer &&
+                               transport::decode<wire::CommandReply>(it.answer->payload).committed);
                       });
         return;
     }
@@ -226,14 +232,16 @@
     change.row.condition =
         announced.draining ? ownership::upstream_status::draining : ownership::upstream_status::joining;
     const bool known = row != nullptr && row->incarnation == change.row.incarnation &&
-                       row->condition != ownership::upstream_status::lost && row->address == change.row.address &&
+                       row->condition != ownership::upstream_status::lost &&
+                       row->address == change.row.address &&
                        announced.draining == (row->condition == ownership::upstream_status::draining);
     const auto shards = shards_of(announced.service_name);
     if (known || shards == 0) {
         done(known);
         return;
     }
-    // No shard is at home here until the global group says so: the first index past the last shard marks that.
+    // No shard is at home here until the global group says so: the first index past the last shard marks
+    // that.
     change.shards = shards;
     change.homes = {shards};
     group_->propose(ownership::encode(ownership::command(change)),
@@ -256,7 +264,8 @@
 
 void data_center_tier::mirror_and_publish(time_point now) {
     const auto rows = machine_->current();
-    const bool newer = !published_ || published_->generation != rows->generation || published_->version < rows->version;
+    const bool newer =
+        !published_ || published_->generation != rows->generation || published_->version < rows->version;
     if (!newer || mirroring_ != 0) {
         return;
     }
@@ -309,7 +318,8 @@
     }
     const auto view = consensus::replacement_view_of(group_->node(), group_->self(), std::move(spares), now);
     if (const auto change = consensus::replacement_policy(options).next(view, now)) {
-        spdlog::info("changing voters member={} change={}", change->member.name, static_cast<int>(change->kind));
+        spdlog::info("changing voters member={} change={}", change->member.name,
+                     static_cast<int>(change->kind));
         group_->change(*change);
     }
 }
--- a/src/app/instance/data_center_tier.cpp
+++ b/src/app/instance/data_center_tier.cpp
@@ -57,7 +57,8 @@
     leader_.clear();
     was_leader_ = false;
     group_.reset();
-    machine_ = std::make_unique<assignment_machine>(shared_.settings.data_center, generation_, formation.table);
+    machine_ =
+        std::make_unique<assignment_machine>(shared_.settings.data_center, generation_, formation.table);
     consensus::options options;
     options.group = group_number(shared_.settings.data_center, generation_);
     options.self = {shared_.settings.name, shared_.incarnation};
@@ -69,7 +70,8 @@
         consensus::node::bootstrap(*store, members);
     }
     spdlog::info("joined data centre group generation={} voter={}", generation_, initial_voter);
-    group_ = std::make_unique<replicated_group>(options, std::move(store), *machine_, [this](const auto& message) {
+    group_ = std::make_unique<
+        replicated_group>(options, std::move(store), *machine_, [this](const auto& message) {
         if (auto* const link = shared_.link_to(message.to.name)) {
             link->notify({transport::frame_type::consensus_message, 0, transport::encode(to_wire(message))});
         }
@@ -148,14 +150,16 @@
     link->request({transport::frame_type::gate_lease_request, 0, transport::encode(request)},
                   shared_.settings.grant_interval, [this, target, now](const transport::reply& it) {
                       if (it.answer) {
-                          on_lease_reply(target, transport::decode<wire::GateLeaseReply>(it.answer->payload), now);
+                          on_lease_reply(target, transport::decode<wire::GateLeaseReply>(it.answer->payload),
+                                         now);
                       } else if (leader_ == target) {
                           leader_.clear();
                       }
                   });
 }
 
-void data_center_tier::on_lease_reply(const std::string& from, const wire::GateLeaseReply& reply, time_point sent) {
+void data_center_tier::on_lease_reply(const std::string& from, const wire::GateLeaseReply& reply,
+                                      time_point sent) {
     if (static_cast<std::uint64_t>(reply.generation) != generation_) {
         return;
     }
@@ -170,9 +174,11 @@
     callbacks_.on_lease(lease_end_);
 }
 
-std::optional<wire::TableUpdate> data_center_tier::newer_table(std::int64_t generation, std::int64_t version) const {
-    if (!published_ || (static_cast<std::int64_t>(published_->generation) == generation &&
-                        static_cast<std::int64_t>(published_->version) <= version) ||
+std::optional<wire::TableUpdate> data_center_tier::newer_table(std::int64_t generation,
+                                                               std::int64_t version) const {
+    if (!published_ ||
+        (static_cast<std::int64_t>(published_->generation) == generation &&
+         static_cast<std::int64_t>(published_->version) <= version) ||
         static_cast<std::int64_t>(published_->generation) < generation) {
         return std::nullopt;
     }
--- a/src/app/instance/data_center_tier.h
+++ b/src/app/instance/data_center_tier.h
@@ -40,7 +40,7 @@
     time_point lease_until; ///< by this clock; the instance's own lease ends before
     bool stopping = false;
     std::int64_t table_version = 0;
-    ownership::epoch_number applied_epoch = 0; ///< of the table that its gates act on
+    ownership::epoch_number applied_epoch = 0;           ///< of the table that its gates act on
     std::map<std::string, time_point> grants_live_until; ///< by upstream, as last reported
 };
 struct upstream_contact {
@@ -51,13 +51,13 @@
     time_point joined_at;
 };
 
-/// This instance's part in the group of its data centre: member of the log, leader duties while elected, and the gate
-/// lease that every instance renews with the leader.
+/// This instance's part in the group of its data centre: member of the log, leader duties while elected, and
+/// the gate lease that every instance renews with the leader.
 class data_center_tier {
 public:
     struct observer {
         std::function<void(std::shared_ptr<const ownership::table>)> on_table; ///< a published table
-        std::function<void(time_point)> on_lease;                             ///< end of this instance's gate lease
+        std::function<void(time_point)> on_lease; ///< end of this instance's gate lease
     };
 
     data_center_tier(control_context& shared, global_tier& global, observer callbacks);
@@ -69,9 +69,11 @@
     /// Table to send to an instance that holds an older one; empty when it holds the newest.
     std::optional<wire::TableUpdate> newer_table(std::int64_t generation, std::int64_t version) const;
     void on_table_update(const wire::TableUpdate& update);
-    /// Takes the state of this instance's gates; a change of health or of the applied table is reported at once.
+    /// Takes the state of this instance's gates; a change of health or of the applied table is reported at
+    /// once.
     void on_gate_report(gate_report report);
-    /// Registers or refreshes an upstream. @p done gets false when this instance does not lead and knows no leader.
+    /// Registers or refreshes an upstream. @p done gets false when this instance does not lead and knows no
+    /// leader.
     void on_announce(const wire::Announce& announced, std::function<void(bool)> done);
     std::uint32_t shards_of(const std::string& service) const;
     void start_stopping() { stopping_ = true; }
--- a/src/app/instance/entry.cpp
+++ b/src/app/instance/entry.cpp
@@ -157,10 +157,13 @@
     if (result == outcome::ran || steady_now() >= it.deadline) {
         return false;
     }
+    if (reason == refusal::stale_route) {
+        return true;
+    }
     if (result == outcome::unknown) {
         return !it.request.at_most_once && reason == refusal::upstream_failed;
     }
-    return reason == refusal::stale_route || reason == refusal::shutting_down ||
+    return reason == refusal::shutting_down ||
            reason == refusal::upstream_failed;
 }
 
--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -63,7 +63,8 @@
     for (const auto& [name, it] : upstreams_) {
         it->tick(now);
     }
-    std::erase_if(retiring_, [now](const auto& it) { return it->idle() && it->report(now).lease_left_us == 0; });
+    std::erase_if(retiring_,
+                  [now](const auto& it) { return it->idle() && it->report(now).lease_left_us == 0; });
     report(now);
 }
 
@@ -78,7 +79,8 @@
             result.upstreams.push_back(it->report(now));
         }
     }
-    // Grants that this instance no longer renews: the leader waits for their end before a key gets its next owner.
+    // Grants that this instance no longer renews: the leader waits for their end before a key gets its next
+    // owner.
     for (const auto& it : retiring_) {
         result.upstreams.push_back(it->report(now));
     }
--- a/src/app/instance/gate.h
+++ b/src/app/instance/gate.h
@@ -24,9 +24,7 @@
     /// @param end until when this instance may act as a gate; set by the control thread
     void set_lease_end(time_point end) noexcept { lease_end_.store(end.time_since_epoch().count()); }
     /// Called every reporting interval with the state of all gated upstreams.
-    void on_reports(std::function<void(std::vector<wire::UpstreamReport>)> observer) {
-        observer_ = std::move(observer);
-    }
+    void on_report(std::function<void(gate_report)> observer) { observer_ = std::move(observer); }
     /// True when nothing waits or is in flight.
     bool idle() const;
     void stop();
--- a/src/app/instance/global_leader.cpp
+++ b/src/app/instance/global_leader.cpp
@@ -1,4 +1,5 @@
-// Duties of the leader of the global group: formation of data centre groups, homes of shards, replacement of voters.
+// Duties of the leader of the global group: formation of data centre groups, homes of shards, replacement of
+// voters.
 #include "app/instance/global_tier.h"
 
 #include <kingcupseam/ownership.h>
@@ -19,8 +20,8 @@
 // Gives all data centres time to register their upstreams before shards are spread over them.
 constexpr duration home_wait = std::chrono::milliseconds(1500);
 
-std::map<std::string, std::uint32_t> slots_by_data_center(const std::map<std::string, wire::TableMirror>& mirrors,
-                                                          const std::string& service) {
+std::map<std::string, std::uint32_t>
+slots_by_data_center(const std::map<std::string, wire::TableMirror>& mirrors, const std::string& service) {
     std::map<std::string, std::uint32_t> slots;
     for (const auto& [data_center, mirror] : mirrors) {
         const auto rows = ownership::decode_table(mirror.table);
@@ -89,7 +90,8 @@
     }
     for (const auto& data_center : data_centers) {
         if (auto formation = formation_for(data_center, now)) {
-            spdlog::info("forming data centre group data_center={} generation={}", data_center, formation->generation);
+            spdlog::info("forming data centre group data_center={} generation={}", data_center,
+                         formation->generation);
             formation_in_progress_ = true;
             group_->propose(encode_formation(std::move(*formation)),
                             [this](const auto&) { formation_in_progress_ = false; });
@@ -98,7 +100,8 @@
     }
 }
 
-std::optional<wire::GroupFormation> global_tier::formation_for(const std::string& data_center, time_point now) const {
+std::optional<wire::GroupFormation> global_tier::formation_for(const std::string& data_center,
+                                                               time_point now) const {
     const auto current = known_.formations.find(data_center);
     const std::int64_t generation = current == known_.formations.end() ? 0 : current->second.generation;
     wire::GroupFormation formation;
@@ -108,7 +111,8 @@
     std::size_t size = 1;
     for (const auto& [name, it] : ungrouped_) {
         // An instance that has not heard of the current generation yet may still join it.
-        if (it.instance.data_center != data_center || it.generation != static_cast<std::uint64_t>(generation)) {
+        if (it.instance.data_center != data_center ||
+            it.generation != static_cast<std::uint64_t>(generation)) {
             continue;
         }
         if (generation > 0 && now - it.since < reformation_wait) {
--- a/src/app/instance/global_state.cpp
+++ b/src/app/instance/global_state.cpp
@@ -119,7 +119,8 @@
     const auto source = transport::decode<wire::ProfileChangeResult>(bytes);
     profile::change_result result;
     result.status = static_cast<profile::change_status>(source.status);
-    result.in_force = {source.name, static_cast<std::uint64_t>(source.version), source.content, source.change_id};
+    result.in_force = {source.name, static_cast<std::uint64_t>(source.version), source.content,
+                       source.change_id};
     result.problem = source.problem;
     return result;
 }
--- a/src/app/instance/global_tier.cpp
+++ b/src/app/instance/global_tier.cpp
@@ -11,8 +11,8 @@
 constexpr duration lead_interval = std::chrono::milliseconds(100);
 constexpr duration voter_poll_interval = std::chrono::milliseconds(200);
 constexpr duration command_timeout = std::chrono::milliseconds(800);
-// An instance that finds no leader serves with the highest version that it found by then: a data centre that is cut off
-// must go on after a restart.
+// An instance that finds no leader serves with the highest version that it found by then: a data centre that
+// is cut off must go on after a restart.
 constexpr duration authoritative_wait = std::chrono::seconds(3);
 
 } // namespace
@@ -34,7 +34,8 @@
     options.group = global_group_number;
     options.self = {shared_.settings.name, store->identity()};
     options.seed = store->identity() ^ shared_.incarnation;
-    group_ = std::make_unique<replicated_group>(options, std::move(store), machine_, [this](const auto& message) {
+    group_ = std::make_unique<
+        replicated_group>(options, std::move(store), machine_, [this](const auto& message) {
         if (auto* const link = shared_.link_to(message.to.name)) {
             link->notify({transport::frame_type::consensus_message, 0, transport::encode(to_wire(message))});
         }
@@ -92,7 +93,8 @@
                           voter_poll_interval, [this, name](const transport::reply& it) {
                               empty_voters_.erase(name);
                               if (it.answer) {
-                                  const auto reply = transport::decode<wire::VoterStatusReply>(it.answer->payload);
+                                  const auto reply =
+                                      transport::decode<wire::VoterStatusReply>(it.answer->payload);
                                   if (!reply.formed && reply.identity != 0) {
                                       empty_voters_[name] = reply.identity;
                                   }
@@ -106,7 +108,8 @@
 
 void global_tier::form_when_all_empty() {
     const auto& voters = shared_.settings.global_voters;
-    const bool first = !voters.empty() && *std::min_element(voters.begin(), voters.end()) == shared_.settings.name;
+    const bool first =
+        !voters.empty() && *std::min_element(voters.begin(), voters.end()) == shared_.settings.name;
     // A voter that lost its disk also reports an empty folder, but then another one reports a formed group.
     if (!first || empty_voters_.size() != voters.size() || group_->store().last_index() != 0) {
         return;
@@ -178,7 +181,8 @@
                   });
 }
 
-void global_tier::on_command(const wire::CommandRequest& request, std::function<void(wire::CommandReply)> done) {
+void global_tier::on_command(const wire::CommandRequest& request,
+                             std::function<void(wire::CommandReply)> done) {
     if (!leads()) {
         wire::CommandReply reply;
         reply.leader = leader_;
--- a/src/app/instance/global_tier.h
+++ b/src/app/instance/global_tier.h
@@ -12,8 +12,8 @@
 
 namespace kingcupseam::app {
 
-/// This instance's part in the global group: voter and leader duties on instances with a disk, and on every instance
-/// the newest state that it knows and the way to the leader.
+/// This instance's part in the global group: voter and leader duties on instances with a disk, and on every
+/// instance the newest state that it knows and the way to the leader.
 class global_tier {
 public:
     using on_state = std::function<void(const wire::GlobalState&)>;
@@ -65,7 +65,8 @@
     std::unique_ptr<replicated_group> group_;
     wire::GlobalState known_;
     std::string leader_;
-    std::map<std::string, std::int64_t> empty_voters_; ///< identities of initial voters that reported an empty folder
+    std::map<std::string, std::int64_t>
+        empty_voters_; ///< identities of initial voters that reported an empty folder
     std::map<std::string, ungrouped_report> ungrouped_;
     std::map<std::string, time_point> service_first_seen_;
     std::set<std::string> durable_spares_;
--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-/// One thread with its own io_context. Every object of the thread is made and destroyed while the thread is not running.
+/// One thread with its own io_context. Every object of the thread is made and destroyed while the thread is
+/// not running.
 struct worker {
     asio::io_context io{1};
     asio::executor_work_guard<asio::io_context::executor_type> work{io.get_executor()};
@@ -32,7 +33,8 @@
 std::uint64_t new_incarnation() {
     // Wall clock time, so that a restarted instance has a higher incarnation than before.
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
 class instance {
@@ -68,10 +70,13 @@
     entry_ = std::make_unique<entry>(
         entry_worker_.io, settings_, incarnation_, views_, registry_,
         [this](wire::ForwardRequest request, gate_reply reply) {
-            asio::post(gate_worker_.io, [this, request = std::move(request), reply = std::move(reply)]() mutable {
-                gate_->submit(std::move(request), [this, reply = std::move(reply)](wire::ForwardResponse response) {
-                    asio::post(entry_worker_.io, [reply, response = std::move(response)] { reply(response); });
-                });
+            asio::post(gate_worker_.io, [this, request = std::move(request),
+                                         reply = std::move(reply)]() mutable {
+                gate_->submit(std::move(request),
+                              [this, reply = std::move(reply)](wire::ForwardResponse response) {
+                                  asio::post(entry_worker_.io,
+                                             [reply, response = std::move(response)] { reply(response); });
+                              });
             });
         });
     control_ = std::make_unique<control>(
@@ -82,8 +87,9 @@
                           },
                           [this](time_point end) { gate_->set_lease_end(end); }});
     gate_->on_report([this](gate_report report) {
-        asio::post(control_worker_.io,
-                   [this, report = std::move(report)]() mutable { control_->on_gate_report(std::move(report)); });
+        asio::post(control_worker_.io, [this, report = std::move(report)]() mutable {
+            control_->on_gate_report(std::move(report));
+        });
     });
 }
 
@@ -117,7 +123,8 @@
     if (control_->unready_long_enough()) {
         asio::post(entry_worker_.io, [this] { entry_->start_stopping(); });
     }
-    const bool done = control_->handed_over() && control_->unready_long_enough() && entry_in_progress_ == 0 && gate_idle_;
+    const bool done =
+        control_->handed_over() && control_->unready_long_enough() && entry_in_progress_ == 0 && gate_idle_;
     if (done || steady_now() > shutdown_deadline_) {
         finish_shutdown();
         return;
--- a/src/app/instance/ledger_host.cpp
+++ b/src/app/instance/ledger_host.cpp
@@ -12,6 +12,7 @@
     result.shard = static_cast<std::int32_t>(source.shard);
     result.idempotency_key = source.key;
     result.epoch = static_cast<std::int64_t>(source.epoch);
+    result.attempt = static_cast<std::int64_t>(source.attempt);
     result.state = static_cast<std::int8_t>(source.state);
     result.status = source.status;
     result.answer = source.answer;
@@ -24,6 +25,7 @@
             static_cast<std::uint32_t>(source.shard),
             source.idempotency_key,
             static_cast<std::uint64_t>(source.epoch),
+            static_cast<std::uint64_t>(source.attempt),
             static_cast<ledger::record_state>(source.state),
             source.status,
             source.answer,
--- a/src/app/instance/operator_api.cpp
+++ b/src/app/instance/operator_api.cpp
@@ -156,7 +156,8 @@
     }
 }
 
-void operator_api::accept_profile(const std::string& name, const http_request& request, const http_reply& reply) {
+void operator_api::accept_profile(const std::string& name, const http_request& request,
+                                  const http_reply& reply) {
     profile::change change;
     try {
         change = {name, version_parameter(request), request.query("change_id"), request.body};
@@ -171,7 +172,8 @@
     global_.propose(encode_profile_change(change), [reply](const std::optional<std::string>& result) {
         if (!result) {
             // The change may still be committed: the operator resends it with the same change id.
-            auto response = problem(503, "the global group did not confirm the change; resend it with the same change_id");
+            auto response = problem(
+                503, "the global group did not confirm the change; resend it with the same change_id");
             response.headers.emplace_back("Retry-After", "1");
             reply(std::move(response));
             return;
@@ -185,7 +187,8 @@
             reply(json_response(409, profile_json(decided.in_force, true)));
             break;
         case profile::change_status::invalid:
-            reply(json_response(400, {{"source", decided.in_force.name}, {"field", ""}, {"problem", decided.problem}}));
+            reply(json_response(
+                400, {{"source", decided.in_force.name}, {"field", ""}, {"problem", decided.problem}}));
             break;
         }
     });
--- a/src/app/instance/replicated_group.cpp
+++ b/src/app/instance/replicated_group.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-replicated_group::replicated_group(const consensus::options& settings, std::unique_ptr<storage::log_store> store,
-                                   state_machine& machine, sender send)
+replicated_group::replicated_group(const consensus::options& settings,
+                                   std::unique_ptr<storage::log_store> store, state_machine& machine,
+                                   sender send)
     : self_(settings.self), store_(std::move(store)), machine_(machine), send_(std::move(send)),
       node_(restored(settings, *store_, machine_, applied_), *store_, steady_now()) {}
 
--- a/src/app/instance/replicated_group.h
+++ b/src/app/instance/replicated_group.h
@@ -29,7 +29,8 @@
 class replicated_group {
 public:
     using sender = std::function<void(const consensus::message&)>;
-    /// The result of the state machine, or empty when the command was not committed as far as this member knows.
+    /// The result of the state machine, or empty when the command was not committed as far as this member
+    /// knows.
     using on_result = std::function<void(std::optional<std::string>)>;
 
     replicated_group(const consensus::options& settings, std::unique_ptr<storage::log_store> store,
--- a/src/app/instance/upstream_dispatch.cpp
+++ b/src/app/instance/upstream_dispatch.cpp
@@ -113,11 +113,14 @@
         break;
     case ledger::verdict::unavailable:
         release(request, std::nullopt);
-        finish(request, not_run(refusal::ledger_unavailable, std::chrono::seconds(1)));
+        // Once the gate's lease has ended another gate may have run the key.
+        finish(request, may_dispatch(now) ? not_run(refusal::ledger_unavailable, std::chrono::seconds(1))
+                                          : unknown_outcome(refusal::ledger_unavailable));
         break;
     case ledger::verdict::stale:
+        // This gate will not run it, but the next gate may have.
         release(request, std::nullopt);
-        finish(request, not_run(refusal::stale_route));
+        finish(request, unknown_outcome(refusal::stale_route));
         break;
     }
     pump();
