--- a/tests/ownership/world.cpp
+++ b/tests/ownership/world.cpp
@@ -4,7 +4,7 @@
 
 namespace kingcupseam::ownership::test {
 
-world::world(world_options options) : options_(std::move(options)), random_(options_.seed) {
+world::world(const world_options& options) : options_(options), random_(options_.seed) {
     leader_clock_ = random_clock();
     leader_.plans = make_fewest_moves_planner(options_.planning);
 }
--- a/tests/ownership/world.h
+++ b/tests/ownership/world.h
@@ -32,7 +32,7 @@
 /// millisecond the invariants are checked.
 class world {
 public:
-    explicit world(world_options options);
+    explicit world(const world_options& options);
 
     void add_gate(const std::string& name);
     void add_upstream(const std::string& name, std::uint64_t incarnation, bool checks_grants);
