Add the membership detector

Random probing in shuffled rounds with piggybacked changes. Each member probes a suspect itself before the suspicion ends, because a refutation that is passed on from member to member often came too late in the tests. A member taken for dead is told nothing but that, so that sides of a healed partition do not take over each other's view while they merge.

--- /dev/null
+++ b/src/membership/member_list.cpp
@@ -0,0 +1,166 @@
+#include "membership/member_list.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace kingcupseam::membership {
+
+namespace {
+
+// Each change is passed on this many times for each doubling of the group. With 3 the chance that a member
+// misses a change is below one in a thousand at 1% loss.
+constexpr std::uint32_t transmissions_per_doubling = 3;
+
+// Each member probes a suspect itself, when it learns of the suspicion and once more halfway to its end. The
+// refutation then reaches it directly; passed on from member to member it would often arrive after the
+// suspicion timeout.
+constexpr std::uint32_t checks_of_suspect = 2;
+
+bool supersedes(const record& received, const record& known) {
+    if (received.id.incarnation != known.id.incarnation) {
+        return received.id.incarnation > known.id.incarnation;
+    }
+    return received.version != known.version ? received.version > known.version
+                                             : received.condition > known.condition;
+}
+
+} // namespace
+
+bool member_list::apply(const record& received, time_point now) {
+    const auto& name = received.id.name;
+    const auto it = members_.find(name);
+    if (it == members_.end()) {
+        // The end of an instance that was never known needs no passing on, and would return forgotten
+        // records.
+        if (!usable(received.condition)) {
+            return false;
+        }
+        members_[name] = {received, now, 0, 0};
+        suspects_ += received.condition == status::suspect ? 1 : 0;
+        queue(name);
+        return true;
+    }
+    if (!supersedes(received, it->second.known)) {
+        return false;
+    }
+    const auto before = it->second.known;
+    it->second = {received, now, 0, 0};
+    suspects_ += received.condition == status::suspect ? 1 : 0;
+    suspects_ -= before.condition == status::suspect ? 1 : 0;
+    queue(name);
+    return before.condition != received.condition || before.id != received.id;
+}
+
+void member_list::queue(const std::string& name) {
+    if (std::find(queue_.begin(), queue_.end(), name) == queue_.end()) {
+        queue_.push_back(name);
+    }
+}
+
+void member_list::announce_self(const record& self) {
+    self_ = {self, {}, 0, 0};
+    queue(self.id.name);
+}
+
+std::uint32_t member_list::transmission_limit() const {
+    return transmissions_per_doubling * static_cast<std::uint32_t>(std::bit_width(members_.size() + 1));
+}
+
+std::vector<record> member_list::changes_to_send() {
+    std::vector<member*> pending;
+    for (const auto& name : queue_) {
+        const auto it = members_.find(name);
+        pending.push_back(it == members_.end() ? &self_ : &it->second);
+    }
+    std::stable_sort(pending.begin(), pending.end(),
+                     [](const member* a, const member* b) { return a->transmitted < b->transmitted; });
+    pending.resize(std::min(pending.size(), settings_.max_piggyback));
+    std::vector<record> result;
+    result.reserve(pending.size());
+    for (auto* it : pending) {
+        ++it->transmitted;
+        result.push_back(it->known);
+    }
+    const auto limit = transmission_limit();
+    const auto sent_enough = [&](const std::string& name) {
+        const auto it = members_.find(name);
+        return (it == members_.end() ? self_ : it->second).transmitted >= limit;
+    };
+    queue_.erase(std::remove_if(queue_.begin(), queue_.end(), sent_enough), queue_.end());
+    return result;
+}
+
+void member_list::extend_suspicions(duration pause) {
+    for (auto& [name, it] : members_) {
+        if (it.known.condition == status::suspect) {
+            it.since += pause;
+        }
+    }
+}
+
+std::vector<record> member_list::suspects_to_check(time_point now) {
+    std::vector<record> due;
+    for (auto& [name, it] : members_) {
+        if (it.known.condition == status::suspect && it.checks < checks_of_suspect &&
+            now - it.since >= settings_.suspicion_timeout * it.checks / checks_of_suspect) {
+            ++it.checks;
+            due.push_back(it.known);
+        }
+    }
+    return due;
+}
+
+void member_list::forget_dead(time_point now) {
+    for (auto it = members_.begin(); it != members_.end();) {
+        const bool over =
+            !usable(it->second.known.condition) && now - it->second.since > settings_.dead_retention;
+        if (over) {
+            queue_.erase(std::remove(queue_.begin(), queue_.end(), it->first), queue_.end());
+        }
+        it = over ? members_.erase(it) : std::next(it);
+    }
+}
+
+const member_list::member* member_list::find(const std::string& name) const {
+    const auto it = members_.find(name);
+    return it == members_.end() ? nullptr : &it->second;
+}
+
+// A shuffled round bounds the time until a given member is probed by this one, which independent draws would
+// not.
+const member_list::member* member_list::next_to_probe() {
+    if (round_.empty()) {
+        for (const auto& [name, it] : members_) {
+            round_.push_back(name);
+        }
+        std::shuffle(round_.begin(), round_.end(), random_);
+    }
+    while (!round_.empty()) {
+        const auto* it = find(round_.back());
+        round_.pop_back();
+        if (it != nullptr && usable(it->known.condition)) {
+            return it;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<const member_list::member*> member_list::pick(std::size_t count, bool wanted,
+                                                          const std::string& except) {
+    std::vector<const member*> candidates;
+    for (const auto& [name, it] : members_) {
+        if (name != except && usable(it.known.condition) == wanted && it.known.condition != status::left) {
+            candidates.push_back(&it);
+        }
+    }
+    std::vector<const member*> result;
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(result), count, random_);
+    return result;
+}
+
+std::size_t member_list::usable_count() const {
+    return static_cast<std::size_t>(std::count_if(
+        members_.begin(), members_.end(), [](const auto& it) { return usable(it.second.known.condition); }));
+}
+
+} // namespace kingcupseam::membership
--- /dev/null
+++ b/tests/membership/detector_test.cpp
@@ -0,0 +1,133 @@
+#include "support/virtual_network.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace kingcupseam;
+using namespace kingcupseam::membership;
+using namespace std::chrono_literals;
+using kingcupseam::test::virtual_network;
+
+namespace {
+
+/// A group in which all members know each other.
+struct group {
+    virtual_network net;
+    std::vector<std::pair<std::size_t, record>> changes;
+
+    explicit group(std::size_t members, std::uint64_t seed = 1, double loss = 0.01) : net(seed, loss) {
+        for (std::size_t n = 0; n < members; ++n) {
+            net.start(n);
+        }
+        net.run(10s);
+        REQUIRE(net.missing() == 0);
+        net.on_change = [this](std::size_t n, const record& it) { changes.emplace_back(n, it); };
+    }
+    auto seen(status condition, const std::string& name) const {
+        return std::count_if(changes.begin(), changes.end(), [&](const auto& it) {
+            return it.second.condition == condition && it.second.id.name == name;
+        });
+    }
+};
+
+} // namespace
+
+TEST_CASE("instances find each other through their seeds") {
+    group it(12);
+    it.net.start(12);
+    it.net.run(2s);
+    CHECK(it.net.missing() == 0);
+    CHECK(it.seen(status::alive, "i12") >= 12);
+}
+
+TEST_CASE("an instance that starts before its seeds joins them later") {
+    virtual_network net(2, 0);
+    net.start(5);
+    net.run(3s);
+    net.start(0);
+    net.run(2s);
+    CHECK(net.missing() == 0);
+}
+
+TEST_CASE("a lost instance is seen as dead by all") {
+    group it(12);
+    it.net.stop(7);
+    it.net.run(2s);
+    CHECK(it.seen(status::dead, "i7") == 11);
+    CHECK_FALSE(it.net.at(3).alive({"i7", 1}));
+    CHECK(it.net.missing() == 0);
+
+    SUBCASE("it returns with a higher incarnation") {
+        it.net.start(7, 2);
+        it.net.run(3s);
+        CHECK(it.net.missing() == 0);
+        CHECK_FALSE(it.net.at(3).alive({"i7", 1}));
+    }
+}
+
+TEST_CASE("an instance that was paused returns and refutes its death") {
+    group it(12);
+    it.net.pause(7, true);
+    it.net.run(2s);
+    CHECK_FALSE(it.net.at(3).alive({"i7", 1}));
+    it.changes.clear();
+    it.net.pause(7, false);
+    it.net.run(3s);
+    CHECK(it.net.missing() == 0);
+    SUBCASE("it takes no other for dead after its own pause") {
+        CHECK(std::none_of(it.changes.begin(), it.changes.end(), [](const auto& one) {
+            return one.first == 7 && one.second.condition == status::dead;
+        }));
+    }
+}
+
+TEST_CASE("a short pause is suspected and refuted without a death") {
+    group it(12, 3, 0);
+    it.net.pause(7, true);
+    it.net.run(200ms);
+    it.net.pause(7, false);
+    it.net.run(2s);
+    CHECK(it.seen(status::dead, "i7") == 0);
+    CHECK(it.net.missing() == 0);
+    CHECK(it.seen(status::suspect, "i7") > 0);
+}
+
+TEST_CASE("an instance that leaves is known to have left before a suspicion could end") {
+    group it(12);
+    it.net.leave(7);
+    it.net.run(2s);
+    CHECK(it.seen(status::left, "i7") == 11);
+    CHECK(it.seen(status::dead, "i7") == 0);
+}
+
+TEST_CASE("a healed partition merges again by itself") {
+    group it(20);
+    it.net.split(8);
+    it.net.run(20s);
+    CHECK_FALSE(it.net.at(2).alive({"i15", 1}));
+    CHECK_FALSE(it.net.at(15).alive({"i2", 1}));
+    CHECK(it.net.at(2).alive({"i7", 1}));
+    SUBCASE("while the dead are remembered") {
+        it.changes.clear();
+        it.net.split(0);
+        it.net.run(10s);
+        CHECK(it.net.missing() == 0);
+        // No side may take over the other side's view of its own members.
+        CHECK(std::none_of(it.changes.begin(), it.changes.end(),
+                           [](const auto& one) { return one.second.condition == status::dead; }));
+    }
+    SUBCASE("after the dead were forgotten, through the seeds") {
+        it.net.run(11min);
+        it.net.split(0);
+        it.net.run(30s);
+        CHECK(it.net.missing() == 0);
+    }
+}
+
+TEST_CASE("one lost message does not make a suspect") {
+    group it(12, 5, 0.01);
+    it.net.run(60s);
+    CHECK(std::none_of(it.changes.begin(), it.changes.end(),
+                       [](const auto& one) { return one.second.condition == status::dead; }));
+}
