--- /dev/null
+++ b/tests/app/load_test.cpp
@@ -0,0 +1,208 @@
+#include <doctest/doctest.h>
+
+#include "app/load_report.h"
+#include "app/load_runner.h"
+#include "app/stand_in_answer.h"
+#include "support/free_port.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <set>
+#include <thread>
+
+using namespace kingcupseam;
+using namespace kingcupseam::app;
+using namespace std::chrono_literals;
+
+namespace {
+
+stand_in_answer own_answer(const http_request& request) {
+    const auto path = request.path();
+    const auto first = path.find("key-");
+    const auto key = path.substr(first, path.rfind('/') - first);
+    return {key, request.header("Idempotency-Key"), request.method, path, "u1", 1};
+}
+
+http_response ran(const stand_in_answer& answer) {
+    return {200, {{"Kingcupseam-Outcome", "ran"}}, encode_answer(answer, 256)};
+}
+
+http_response refused(const std::string& told, const std::string& reason) {
+    return {503, {{"Kingcupseam-Outcome", told}, {"Kingcupseam-Reason", reason}}, "{}"};
+}
+
+/// An instance that answers as a test says, on a thread of its own.
+class fake_instance {
+public:
+    explicit fake_instance(std::function<http_response(const http_request&)> behaviour)
+        : address{"127.0.0.1", test::free_port()},
+          server_(context_, {.listen = address, .max_body_bytes = 65536},
+                  [behaviour = std::move(behaviour)](const http_request& request, const http_reply& reply) {
+                      reply(behaviour(request));
+                  }),
+          guard_(asio::make_work_guard(context_)), thread_([this] { context_.run(); }) {}
+    ~fake_instance() {
+        context_.stop();
+        thread_.join();
+    }
+    fake_instance(const fake_instance&) = delete;
+    fake_instance& operator=(const fake_instance&) = delete;
+
+    const endpoint_address address;
+
+private:
+    asio::io_context context_{1};
+    http_server server_;
+    asio::executor_work_guard<asio::io_context::executor_type> guard_;
+    std::thread thread_;
+};
+
+load_options short_load(const endpoint_address& address) {
+    load_options it;
+    it.addresses = {address};
+    it.rates = {100, 100, 100};
+    it.length = 500ms;
+    it.timeout = 300ms;
+    it.late_after = {1s, 1s, 1s};
+    it.keys = 100;
+    return it;
+}
+
+const rank_results& of(const load_results& results, rank kind) {
+    return results.ranks.at(static_cast<std::size_t>(kind));
+}
+
+} // namespace
+
+TEST_CASE("correct answers are counted per rank, with latency from the intended time") {
+    fake_instance instance([](const http_request& request) { return ran(own_answer(request)); });
+    auto settings = short_load(instance.address);
+    SUBCASE("all are answered") {
+        const auto results = load_runner(settings).run();
+        for (const rank kind : all_ranks) {
+            CHECK(of(results, kind).sent > 20);
+            CHECK(of(results, kind).answered == of(results, kind).sent);
+            CHECK(of(results, kind).latency->count() == of(results, kind).sent);
+        }
+        CHECK_FALSE(results.violated());
+    }
+    SUBCASE("the warm-up is not counted") {
+        settings.warmup = 500ms;
+        CHECK(of(load_runner(settings).run(), rank::urgent).sent == 0);
+    }
+    SUBCASE("an address that refuses connections is passed over") {
+        settings.addresses = {{"127.0.0.1", test::free_port()}, instance.address};
+        const auto results = load_runner(settings).run();
+        CHECK(of(results, rank::urgent).answered == of(results, rank::urgent).sent);
+    }
+    SUBCASE("without any address that accepts, requests are errors") {
+        settings.addresses = {{"127.0.0.1", test::free_port()}};
+        const auto results = load_runner(settings).run();
+        CHECK(of(results, rank::urgent).errors == of(results, rank::urgent).sent);
+    }
+    SUBCASE("slower answers than allowed are late") {
+        settings.late_after = {duration(1), 1s, 1s};
+        const auto results = load_runner(settings).run();
+        CHECK(of(results, rank::urgent).late == of(results, rank::urgent).sent);
+        CHECK(of(results, rank::standard).late == 0);
+    }
+    SUBCASE("each form of the report is complete") {
+        const auto results = load_runner(settings).run();
+        const auto json = nlohmann::json::parse(load_json(settings, results));
+        CHECK(json.at("ranks").at("urgent").at("answered") == of(results, rank::urgent).answered);
+        CHECK(load_table(results).find("deferrable") != std::string::npos);
+        CHECK(load_csv(results).find("\nstandard,") != std::string::npos);
+        CHECK(load_html(settings, results).find("<polyline") != std::string::npos);
+    }
+}
+
+TEST_CASE("what must never happen is found") {
+    SUBCASE("an answer to another request") {
+        fake_instance instance([](const http_request& request) {
+            auto answer = own_answer(request);
+            answer.idempotency_key = "another";
+            return ran(answer);
+        });
+        const auto results = load_runner(short_load(instance.address)).run();
+        CHECK(of(results, rank::urgent).wrong == of(results, rank::urgent).sent);
+        CHECK(of(results, rank::urgent).answered == 0);
+        CHECK(results.violated());
+    }
+    SUBCASE("a damaged body") {
+        fake_instance instance([](const http_request& request) {
+            auto response = ran(own_answer(request));
+            response.body.pop_back();
+            return response;
+        });
+        CHECK(of(load_runner(short_load(instance.address)).run(), rank::standard).wrong > 0);
+    }
+    SUBCASE("two executions of one at-most-once request, seen in its answers") {
+        std::atomic<std::uint64_t> executions = 0;
+        fake_instance instance([&](const http_request& request) {
+            auto answer = own_answer(request);
+            answer.executions = ++executions;
+            return ran(answer);
+        });
+        auto settings = short_load(instance.address);
+        settings.resend_fraction = 1;
+        const auto results = load_runner(settings).run();
+        CHECK(of(results, rank::standard).double_runs == of(results, rank::standard).sent);
+        CHECK(of(results, rank::urgent).double_runs == 0);
+        CHECK(results.violated());
+    }
+    SUBCASE("a request that ran although its caller was told not-run") {
+        std::mutex mutex;
+        std::set<std::string> seen;
+        fake_instance instance([&](const http_request& request) {
+            const std::lock_guard lock(mutex);
+            seen.insert(request.header("Idempotency-Key"));
+            return refused("not-run", "queue-full");
+        });
+        auto results = load_runner(short_load(instance.address)).run();
+        CHECK(of(results, rank::urgent).not_run.at("queue-full") == of(results, rank::urgent).sent);
+        CHECK_FALSE(results.violated());
+        judgement found;
+        found.runs_by_idempotency_key[*seen.begin()] = 1;
+        results.add_judgement(found);
+        CHECK(results.violated());
+        CHECK(nlohmann::json::parse(load_json({}, results)).at("violated") == true);
+    }
+    SUBCASE("double owners and double runs in the records") {
+        load_results results;
+        judgement found;
+        found.double_runs = 1;
+        results.add_judgement(found);
+        CHECK(results.violated());
+        found.double_runs = 0;
+        found.double_owners = 1;
+        results.add_judgement(found);
+        CHECK(results.violated());
+        found.double_owners = 0;
+        found.runs = 1;
+        results.add_judgement(found);
+        CHECK_FALSE(results.violated());
+    }
+}
+
+TEST_CASE("at-most-once requests are sent again with the same key after an unclear answer") {
+    std::mutex mutex;
+    std::map<std::string, int> attempts;
+    fake_instance instance([&](const http_request& request) {
+        const std::lock_guard lock(mutex);
+        const int n = ++attempts[request.header("Idempotency-Key")];
+        return n == 1 ? refused("unknown", "gate-lost") : ran(own_answer(request));
+    });
+    auto settings = short_load(instance.address);
+    SUBCASE("with resends") {
+        settings.resend_fraction = 1;
+        const auto results = load_runner(settings).run();
+        CHECK(of(results, rank::standard).answered == of(results, rank::standard).sent);
+        CHECK(of(results, rank::standard).resent >= of(results, rank::standard).sent);
+        CHECK(of(results, rank::urgent).unknown == of(results, rank::urgent).sent);
+    }
+    SUBCASE("without resends the outcome stays unknown") {
+        const auto results = load_runner(settings).run();
+        CHECK(of(results, rank::standard).unknown == of(results, rank::standard).sent);
+    }
+}
