--- a/src/app/check.cpp
+++ b/src/app/check.cpp
@@ -1,11 +1,104 @@
-#include "app/commands.h"
+#include "app/command_options.h"
+#include "app/operator_commands.h"
 
+#include <kingcupseam/config.h>
 #include <kingcupseam/error.h>
+#include <kingcupseam/profile.h>
+#include <kingcupseam/settings.h>
+#include <kingcupseam/statechart.h>
+
+#include <iostream>
 
 namespace kingcupseam::app {
 
-int run_check(const arguments& /*args*/) {
-    throw error("this command is not available yet");
+namespace {
+
+using file_list = std::vector<std::string>;
+
+file_list files_of(const options::variables_map& values, const char* option) {
+    return values.count(option) == 0 ? file_list() : values[option].as<file_list>();
+}
+
+/// Prints one line per file; remembers whether any was invalid.
+class reporter {
+public:
+    reporter(std::ostream& out, std::ostream& err) : out_(out), err_(err) {}
+
+    void run(const std::string& kind, const std::string& source, const std::function<void()>& check) {
+        // A file that cannot be read is as useless as an invalid one, and the other files are checked too.
+        const int code = run_reporting(err_, [&] {
+            check();
+            out_ << "ok " << kind << " " << source << "\n";
+            return exit_success;
+        });
+        failed_ = failed_ || code != exit_success;
+    }
+    int exit_code() const { return failed_ ? exit_invalid_input : exit_success; }
+
+private:
+    std::ostream& out_;
+    std::ostream& err_;
+    bool failed_ = false;
+};
+
+void check_profiles(const file_list& files, reporter& report) {
+    std::vector<profile::accepted_profile> valid;
+    for (const auto& it : files) {
+        report.run("profile", it, [&] {
+            const std::string content = config::read_file(it);
+            profile::parse_profile(it, content);
+            valid.push_back({it, 1, content, "check"});
+        });
+    }
+    // Each file may be valid by itself and still claim the services or requests of another.
+    if (valid.size() > 1) {
+        report.run("profiles", "together", [&] { profile::rule_index{valid}; });
+    }
+}
+
+int check_all(const options::variables_map& values, std::ostream& out, std::ostream& err) {
+    const file_list settings = files_of(values, "settings");
+    const file_list profiles = files_of(values, "profile");
+    const file_list charts = files_of(values, "chart");
+    reporter report(out, err);
+    for (const auto& it : settings) {
+        report.run("settings", it, [&] { settings::load_settings(it); });
+    }
+    check_profiles(profiles, report);
+    for (const auto& it : charts) {
+        report.run("chart", it, [&] { statechart::parse_chart(it, config::read_file(it)); });
+    }
+    if (settings.empty() && profiles.empty() && charts.empty()) {
+        for (const auto& it : statechart::embedded_chart_names()) {
+            report.run("chart", it + " (embedded)", [&] { statechart::embedded_chart(it); });
+        }
+    }
+    return report.exit_code();
+}
+
+} // namespace
+
+int check_command(const arguments& args, std::ostream& out, std::ostream& err) {
+    return run_reporting(err, [&] {
+        options::options_description visible("Without a file, the embedded charts are checked. Options");
+        visible.add_options()("settings", options::value<file_list>(), "settings file; may be repeated")(
+            "profile", options::value<file_list>(), "profile file; may be repeated")(
+            "chart", options::value<file_list>(), "state chart file; may be repeated")(
+            "diagram", options::value<std::string>(), "print an embedded chart as a Mermaid diagram");
+        const auto values = parse_options(args, "check [OPTION...]", visible, {}, out);
+        if (!values) {
+            return exit_success;
+        }
+        if (values->count("diagram") != 0) {
+            out << statechart::to_mermaid(statechart::embedded_chart((*values)["diagram"].as<std::string>()));
+            return exit_success;
+        }
+        return check_all(*values, out, err);
+    });
+}
+
+int run_check(const arguments& args) {
+    return check_command(args, std::cout, std::cerr);
 }
 
 } // namespace kingcupseam::app
--- /dev/null
+++ b/src/app/operator_commands.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "app/commands.h"
+
+#include <iosfwd>
+
+namespace kingcupseam::app {
+
+// The commands with their streams as parameters. All return an exit code of app/commands.h.
+int check_command(const arguments& args, std::ostream& out, std::ostream& err);
+int profile_command(const arguments& args, std::ostream& out, std::ostream& err);
+int status_command(const arguments& args, std::ostream& out, std::ostream& err);
+
+} // namespace kingcupseam::app
