--- /dev/null
+++ b/fuzz/profile_parse.cpp
@@ -0,0 +1,33 @@
+#include <kingcupseam/error.h>
+#include <kingcupseam/profile.h>
+
+#include <cstdlib>
+
+using namespace kingcupseam;
+
+// A profile is accepted or refused with a typed error, an accepted one can be indexed, and the decoders
+// refuse damaged bytes in the same way.
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+    const std::string text(reinterpret_cast<const char*>(data), size);
+    try {
+        const auto parsed = profile::parse_profile("fuzz", text);
+        const profile::rule_index index({{parsed.name, 1, text, "c"}});
+        if (index.empty() || index.profile_of(parsed.services.at(0).name) == nullptr) {
+            std::abort();
+        }
+        index.find("GET", text);
+    } catch (const invalid_input&) {
+    }
+    try {
+        const auto change = profile::decode_change(text);
+        if (profile::encode(change) != text) {
+            std::abort();
+        }
+    } catch (const invalid_input&) {
+    }
+    try {
+        profile::store::decode(text);
+    } catch (const invalid_input&) {
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/support/fuzz_driver.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace kingcupseam::test {
+
+/// Deterministic inputs for a fuzz target in the ordinary build: mutations of the files of
+/// fuzz/corpus/<target>/ and random bytes.
+class input_generator {
+public:
+    input_generator(const std::filesystem::path& corpus, std::uint64_t seed) : random_(seed) {
+        std::error_code ec;
+        for (const auto& it : std::filesystem::directory_iterator(corpus, ec)) {
+            files_.push_back(it.path());
+        }
+        std::sort(files_.begin(), files_.end());
+        for (const auto& it : files_) {
+            std::ifstream in(it, std::ios::binary);
+            seeds_.emplace_back(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+        }
+    }
+
+    std::string next() {
+        if (seeds_.empty() || below(8) == 0) {
+            return random_bytes(below(64));
+        }
+        std::string input = pick_seed();
+        // Few mutations keep most inputs close to valid, where the deeper checks are reached.
+        for (std::size_t n = below(4) + 1; n > 0; --n) {
+            mutate(input);
+        }
+        return input;
+    }
+
+    const std::vector<std::string>& seeds() const noexcept { return seeds_; }
+
+private:
+    static constexpr std::size_t max_input_bytes = 4096;
+
+    std::size_t below(std::size_t n) { return n == 0 ? 0 : random_() % n; }
+    const std::string& pick_seed() { return seeds_[below(seeds_.size())]; }
+
+    std::string random_bytes(std::size_t n) {
+        std::string bytes;
+        while (bytes.size() < n) {
+            bytes.push_back(static_cast<char>(random_()));
+        }
+        return bytes;
+    }
+
+    std::string piece_of(const std::string& source) {
+        const std::size_t start = below(source.size());
+        return source.substr(start, below(32) + 1);
+    }
+
+    void mutate(std::string& input) {
+        const std::size_t at = below(input.size());
+        switch (below(7)) {
+        case 0: // flip a bit
+            if (!input.empty()) {
+                input[at] = static_cast<char>(input[at] ^ (1 << below(8)));
+            }
+            break;
+        case 1:
+            input.insert(at, random_bytes(below(4) + 1));
+            break;
+        case 2:
+            input.erase(at, below(16) + 1);
+            break;
+        case 3:
+            input.resize(at);
+            break;
+        case 4: // splice: a piece of any seed at any place
+            input.insert(at, piece_of(pick_seed()));
+            break;
+        case 5:
+            input.replace(at, below(8) + 1,
+                          std::to_string(static_cast<std::int64_t>(random_()) >> below(64)));
+            break;
+        default: // repeat one byte, for nesting and long texts
+            input.insert(at, below(200), input.empty() ? '[' : input[at]);
+            break;
+        }
+        input.resize(std::min(input.size(), max_input_bytes));
+    }
+
+    std::mt19937_64 random_;
+    std::vector<std::filesystem::path> files_;
+    std::vector<std::string> seeds_;
+};
+
+} // namespace kingcupseam::test
