--- a/tests/admission/flood.h
+++ b/tests/admission/flood.h
@@ -19,10 +19,12 @@
 };
 
 struct flood_result {
-    std::vector<std::array<double, rank_count>> slot_seconds; ///< per second of virtual time
+    std::vector<std::array<double, rank_count>> slot_seconds;      ///< per second of virtual time
+    std::vector<std::array<std::uint32_t, rank_count>> offered_in; ///< requests per second of virtual time
     std::array<std::uint64_t, rank_count> offered{};
     std::array<std::uint64_t, rank_count> in_time{};
     std::array<std::uint64_t, rank_count> late{};
+    std::array<double, rank_count> demand_seconds{}; ///< slot time of all requests offered
     std::uint32_t most_running = 0;
 
     double fraction_in_time(rank value) const {
@@ -37,6 +39,17 @@
         }
         return least;
     }
+    /// Like smallest_share, over the seconds in which at least @p least requests of the rank arrived.
+    double smallest_share_when_busy(rank value, double slots, double least) const {
+        const auto n = static_cast<std::size_t>(value);
+        double result = 1;
+        for (std::size_t second = 2; second < slot_seconds.size(); ++second) {
+            if (offered_in[second][n] >= least) {
+                result = std::min(result, slot_seconds[second][n] / slots);
+            }
+        }
+        return result;
+    }
     double mean_share(rank value, double slots) const {
         double sum = 0;
         for (std::size_t n = 2; n < slot_seconds.size(); ++n) {
@@ -58,6 +71,7 @@
 
     flood_result run(int seconds) {
         result_.slot_seconds.resize(static_cast<std::size_t>(seconds));
+        result_.offered_in.resize(static_cast<std::size_t>(seconds));
         const time_point end = start_ + std::chrono::seconds(seconds);
         for (std::size_t n = 0; n < rank_count; ++n) {
             schedule(n, start_);
@@ -90,9 +104,21 @@
     void arrive(std::size_t n, time_point now) {
         const ticket request{++last_id_, all_ranks[n], now, now + load_.patience[n], false};
         ++result_.offered[n];
-        queue_.admit(request, now);
+        ++result_.offered_in[std::size_t((now - start_) / std::chrono::seconds(1))][n];
+        // Drawn for every arrival, so that all queues see the same requests with the same seed.
+        const double service = draw_service(n);
+        result_.demand_seconds[n] += service / 1e6;
+        if (queue_.admit(request, now) == admission::admit_result::admitted) {
+            service_of_[request.id] = duration(std::int64_t(service));
+        }
         schedule(n, now);
     }
+    /// Half fixed, half exponential, with one request in 500 that takes twenty times as long.
+    double draw_service(std::size_t n) {
+        std::exponential_distribution<double> tail(2 / load_.mean_service_us);
+        const double usual = load_.mean_service_us / 2 + tail(services_[n]);
+        return usual * (services_[n]() % 500 == 0 ? 20 : 1);
+    }
     void end_request(std::uint64_t id, time_point now) {
         const running it = running_.at(id);
         running_.erase(id);
@@ -114,15 +140,14 @@
     void dispatch(time_point now) {
         std::vector<ticket> expired;
         while (const auto chosen = queue_.next(now, expired)) {
-            const auto n = static_cast<std::size_t>(chosen->priority);
-            // Half fixed, half exponential, with one request in 500 that takes twenty times as long.
-            std::exponential_distribution<double> tail(2 / load_.mean_service_us);
-            double service = load_.mean_service_us / 2 + tail(services_[n]);
-            service *= services_[n]() % 500 == 0 ? 20 : 1;
             running_[chosen->id] = {*chosen, now};
-            events_.insert({now + duration(std::int64_t(service)), {false, chosen->id}});
+            events_.insert({now + service_of_.at(chosen->id), {false, chosen->id}});
+            service_of_.erase(chosen->id);
             result_.most_running = std::max(result_.most_running, std::uint32_t(running_.size()));
         }
+        for (const auto& it : expired) {
+            service_of_.erase(it.id);
+        }
     }
 
     queue& queue_;
@@ -132,6 +157,7 @@
     time_point start_{std::chrono::seconds(1)};
     std::multimap<time_point, event> events_;
     std::map<std::uint64_t, running> running_;
+    std::map<std::uint64_t, duration> service_of_;
     std::uint64_t last_id_ = 0;
     flood_result result_;
 };
