Add the consensus library with a replacement policy for lost voters

A restarted voter and a former leader wait an election timeout before they vote, since the leadership lease counts on them.

--- /dev/null
+++ b/src/consensus/election.cpp
@@ -0,0 +1,154 @@
+#include "consensus/state.h"
+
+namespace kingcupseam::consensus {
+
+namespace {
+
+std::string vote_for(const member_id& id) {
+    return id.name + "#" + std::to_string(id.incarnation);
+}
+
+} // namespace
+
+bool node::state::hears_leader() const {
+    return current == role::leader || now - leader_contact < settings.election_timeout;
+}
+
+bool node::state::up_to_date(const message& candidate) const {
+    const std::uint64_t last = store.last_index();
+    return std::pair(candidate.last_term, candidate.last_index) >= std::pair(*store.term_at(last), last);
+}
+
+void node::state::start_pre_vote() {
+    leader.reset();
+    if (!is_voter(settings.self)) {
+        current = role::follower;
+        reset_deadline();
+        return;
+    }
+    current = role::pre_candidate;
+    votes = {settings.self};
+    // Other voters may have heard from the leader up to a heartbeat later; a whole election timeout between
+    // attempts would delay elections that become possible within a heartbeat.
+    const auto interval = static_cast<std::uint64_t>(settings.heartbeat_interval.count());
+    deadline = now + settings.heartbeat_interval + duration(static_cast<std::int64_t>(random() % interval));
+    if (votes.size() >= quorum()) {
+        start_election();
+        return;
+    }
+    request_votes(message_kind::pre_vote_request, hard.term + 1);
+}
+
+void node::state::start_election() {
+    save(hard.term + 1, vote_for(settings.self));
+    current = role::candidate;
+    votes = {settings.self};
+    reset_deadline();
+    if (votes.size() >= quorum()) {
+        become_leader();
+        return;
+    }
+    request_votes(message_kind::vote_request, hard.term);
+}
+
+void node::state::request_votes(message_kind kind, std::uint64_t term) {
+    for (const member_id& id : latest().voters) {
+        if (id == settings.self) {
+            continue;
+        }
+        message m;
+        m.kind = kind;
+        m.to = id;
+        m.term = term;
+        m.last_index = store.last_index();
+        m.last_term = *store.term_at(m.last_index);
+        send(std::move(m));
+    }
+}
+
+void node::state::on_pre_vote_request(const message& m) {
+    const bool granted = m.term > hard.term && !hears_leader() && up_to_date(m);
+    message reply = reply_to(m, message_kind::pre_vote_reply, granted);
+    if (granted) {
+        reply.term = m.term;
+    }
+    send(std::move(reply));
+}
+
+void node::state::on_pre_vote_reply(const message& m) {
+    if (!m.accepted) {
+        if (m.term > hard.term) {
+            become_follower(m.term, std::nullopt);
+        }
+        return;
+    }
+    if (current != role::pre_candidate || m.term != hard.term + 1 || !is_voter(m.from)) {
+        return;
+    }
+    votes.insert(m.from);
+    if (votes.size() >= quorum()) {
+        start_election();
+    }
+}
+
+void node::state::on_vote_request(const message& m) {
+    // Neither a vote nor the candidate's term is taken while a leader is heard: its lease counts on this.
+    if (hears_leader()) {
+        send(reply_to(m, message_kind::vote_reply, false));
+        return;
+    }
+    if (m.term > hard.term) {
+        become_follower(m.term, std::nullopt);
+    }
+    const std::string wanted = vote_for(m.from);
+    const bool free = hard.voted_for.empty() || hard.voted_for == wanted;
+    const bool granted = m.term == hard.term && free && up_to_date(m);
+    if (granted) {
+        if (hard.voted_for.empty()) {
+            save(hard.term, wanted);
+        }
+        reset_deadline();
+    }
+    send(reply_to(m, message_kind::vote_reply, granted));
+}
+
+void node::state::on_vote_reply(const message& m) {
+    if (m.term > hard.term) {
+        become_follower(m.term, std::nullopt);
+        return;
+    }
+    if (current != role::candidate || m.term != hard.term || !m.accepted || !is_voter(m.from)) {
+        return;
+    }
+    votes.insert(m.from);
+    if (votes.size() >= quorum()) {
+        become_leader();
+    }
+}
+
+void node::state::become_leader() {
+    current = role::leader;
+    leader = settings.self;
+    round = 0;
+    round_starts.clear();
+    valid_until = {};
+    update_peers();
+    // Entries of earlier terms are committed only together with an entry of this term.
+    term_start = append_entry(storage::entry_kind::no_op, "");
+    start_round();
+    advance_commit();
+}
+
+void node::state::check_quorum() {
+    std::size_t heard = is_voter(settings.self) ? 1 : 0;
+    for (const auto& [id, it] : peers) {
+        if (is_voter(id) && now - it.contact < settings.election_timeout) {
+            ++heard;
+        }
+    }
+    if (heard < quorum()) {
+        become_follower(hard.term, std::nullopt);
+    }
+}
+
+} // namespace kingcupseam::consensus
--- /dev/null
+++ b/src/consensus/state.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <kingcupseam/consensus.h>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace kingcupseam::consensus {
+
+/// Leader's view of another member.
+struct peer {
+    std::uint64_t match = 0;       ///< highest index known to be stored there
+    std::uint64_t next = 1;        ///< next index to send
+    std::uint64_t acked_round = 0; ///< newest heartbeat round that it confirmed
+    bool probing = true;           ///< where its log matches is unknown: one append per heartbeat
+    std::optional<time_point> snapshot_sent;
+    time_point contact;
+};
+
+struct node::state {
+    state(options given, storage::log_store& log, time_point start);
+
+    // node.cpp
+    void dispatch(const message& m);
+    effects take_effects();
+    void become_follower(std::uint64_t term, const std::optional<member_id>& new_leader);
+    void save(std::uint64_t term, const std::string& vote);
+    void reset_deadline();
+    message reply_to(const message& m, message_kind kind, bool accepted) const;
+    void send(message m);
+
+    // election.cpp
+    bool hears_leader() const;
+    bool up_to_date(const message& candidate) const;
+    void start_pre_vote();
+    void start_election();
+    void request_votes(message_kind kind, std::uint64_t term);
+    void on_pre_vote_request(const message& m);
+    void on_pre_vote_reply(const message& m);
+    void on_vote_request(const message& m);
+    void on_vote_reply(const message& m);
+    void become_leader();
+    void check_quorum();
+
+    // leader.cpp
+    std::uint64_t append_entry(storage::entry_kind kind, std::string data);
+    void start_round();
+    void broadcast_entries();
+    void send_append(const member_id& id, peer& to);
+    void send_snapshot(const member_id& id, peer& to);
+    void send_contact(const member_id& id, const peer& to);
+    void on_reply(const message& m);
+    void on_rejected(const message& m, peer& from);
+    void advance_commit();
+    void update_lease();
+
+    // follower.cpp
+    bool follow(const message& m, message_kind reply);
+    void on_append_request(const message& m);
+    bool check_previous(const message& m);
+    void store_entries(const message& m);
+    void on_snapshot_request(const message& m);
+
+    // membership.cpp
+    void load_memberships();
+    void add_membership(std::uint64_t index, const membership& next);
+    void drop_memberships_after(std::uint64_t index);
+    const membership& latest() const { return memberships.back().second; }
+    membership changed(const membership_change& wanted) const;
+    void update_peers();
+    bool is_voter(const member_id& id) const;
+    std::size_t quorum() const { return latest().voters.size() / 2 + 1; }
+    bool change_pending() const { return memberships.back().first > commit; }
+    bool caught_up(const member_id& id) const;
+
+    options settings;
+    storage::log_store& store;
+    std::mt19937_64 random;
+    storage::hard_state hard;
+    role current = role::follower;
+    std::optional<member_id> leader;
+    std::uint64_t commit = 0;
+    std::uint64_t applied = 0; ///< highest index handed out in effects
+    time_point now;            ///< time of the event being handled
+    time_point deadline;       ///< of the next pre-vote
+    time_point leader_contact; ///< a vote may be given only an election timeout after this
+    /// Memberships by the index that introduced them; the last one is in force.
+    std::vector<std::pair<std::uint64_t, membership>> memberships;
+    std::set<member_id> votes;
+    effects out;
+
+    std::map<member_id, peer> peers;
+    std::uint64_t round = 0;
+    std::deque<std::pair<std::uint64_t, time_point>> round_starts;
+    std::uint64_t term_start = 0; ///< index of the no-op of this leadership
+    time_point next_heartbeat;
+    time_point valid_until;
+};
+
+/// Throws invalid_input unless the entries follow @p previous without a gap and their memberships decode.
+void check_entries(const std::vector<storage::entry>& entries, std::uint64_t previous);
+
+} // namespace kingcupseam::consensus
--- /dev/null
+++ b/tests/consensus/scenario_test.cpp
@@ -0,0 +1,208 @@
+#include "fake_network.h"
+
+#include "support/scenario.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <sstream>
+
+using namespace kingcupseam;
+using namespace kingcupseam::test;
+using consensus::change_kind;
+
+namespace {
+
+network_options options_of(const scenario& script) {
+    network_options result;
+    result.seed = script.seed;
+    result.voters = static_cast<std::size_t>(toml::find_or(script.setup, "voters", 3));
+    result.spares = static_cast<std::size_t>(toml::find_or(script.setup, "spares", 0));
+    result.disks = toml::find_or(script.setup, "disks", true);
+    result.compact_after = static_cast<std::uint64_t>(toml::find_or(script.setup, "compact_after", 0));
+    return result;
+}
+
+/// Interprets the steps of a scenario. Hosts are named a, b, c, ...; "leader" is the current leader, "other"
+/// and "third" are the first and second running voter besides it, and "as" names a host for later steps.
+class interpreter {
+public:
+    explicit interpreter(const scenario& script) : net_(options_of(script)) {}
+
+    void run(const scenario_step& step) {
+        step_ = &step;
+        const auto it = verbs_.find(step.verb);
+        REQUIRE_MESSAGE(it != verbs_.end(), "unknown verb " << step.verb);
+        (this->*it->second)();
+        CHECK(net_.checks().clean());
+    }
+    void finish() {
+        net_.checks().finish();
+        CHECK(net_.checks().clean());
+    }
+
+private:
+    using verb = void (interpreter::*)();
+
+    std::string host(const std::string& key = "host") {
+        const std::string text = step_->text(key);
+        std::string name = text;
+        if (text == "leader" || text == "other" || text == "third") {
+            name = role_holder(text);
+        } else if (names_.contains(text)) {
+            name = names_.at(text);
+        }
+        const std::string alias = step_->text("as");
+        if (!alias.empty()) {
+            names_[alias] = name;
+        }
+        REQUIRE_MESSAGE((name == "*" || net_.hosts().contains(name)), "unknown host " << text);
+        return name;
+    }
+    std::string role_holder(const std::string& text) {
+        const std::string leader = net_.leader();
+        REQUIRE_FALSE(leader.empty());
+        std::vector<std::string> others;
+        for (const auto& id : net_.at(leader).node->members().voters) {
+            const auto& it = net_.at(id.name);
+            if (id.name != leader && it.up() && !it.paused && it.id == id) {
+                others.push_back(id.name);
+            }
+        }
+        return text == "leader" ? leader : others.at(text == "other" ? 0 : 1);
+    }
+    duration ms(const std::string& key, std::int64_t fallback) {
+        return std::chrono::milliseconds(step_->number(key, fallback));
+    }
+
+    void do_run() { net_.run(ms("ms", 100)); }
+    void do_propose() {
+        const auto count = step_->number("count", 1);
+        const std::size_t before = net_.checks().acknowledged();
+        for (std::int64_t n = 0; n < count; ++n) {
+            CHECK(net_.propose());
+            net_.run(ms("every_ms", 2));
+        }
+        const auto wanted = before + static_cast<std::size_t>(step_->number("acknowledged", count));
+        net_.run_until([&] { return net_.checks().acknowledged() >= wanted; }, ms("within_ms", 300));
+        CHECK(net_.checks().acknowledged() == wanted);
+    }
+    void do_kill() { net_.kill(host()); }
+    void do_restart() { net_.restart(host(), step_->text("disk", "kept") == "lost"); }
+    void do_pause() { net_.pause(host()); }
+    void do_resume() { net_.resume(host()); }
+    void do_cut() {
+        const std::string from = host("from");
+        net_.cut(from, host("to"));
+    }
+    void do_isolate() {
+        const std::string name = host();
+        net_.cut(name, "*");
+        net_.cut("*", name);
+    }
+    void do_heal() { net_.heal(); }
+    void do_replace() {
+        net_.enable_replacement(
+            {static_cast<std::size_t>(step_->number("voters", 3)), ms("lost_after_ms", 500)});
+    }
+    bool change() {
+        static const std::map<std::string, change_kind> kinds{{"add_learner", change_kind::add_learner},
+                                                              {"promote", change_kind::promote},
+                                                              {"remove", change_kind::remove}};
+        return net_.change({kinds.at(step_->text("kind")), net_.at(host()).id});
+    }
+    void do_change() { CHECK(change()); }
+    void do_refuse_change() { CHECK_FALSE(change()); }
+    void do_await_leader() {
+        const std::string except = step_->text("not");
+        const auto elected = [&] {
+            const std::string name = net_.leader();
+            return !name.empty() && (!names_.contains(except) || name != names_.at(except)) &&
+                   net_.at(name).node->leadership_valid_until() > net_.now();
+        };
+        CHECK(net_.run_until(elected, ms("within_ms", 1000)));
+    }
+    void do_expect_no_leader() { CHECK(net_.leader().empty()); }
+    void do_remember_leader() {
+        remembered_ = net_.leader();
+        remembered_term_ = net_.at(remembered_).node->term();
+    }
+    void do_expect_same_leader() {
+        CHECK(net_.leader() == remembered_);
+        CHECK(net_.at(remembered_).node->term() == remembered_term_);
+    }
+    void do_await_voters() {
+        std::vector<std::string> wanted = step_->list("hosts");
+        for (auto& it : wanted) {
+            it = names_.contains(it) ? names_.at(it) : it;
+        }
+        std::sort(wanted.begin(), wanted.end());
+        const auto reached = [&] {
+            const std::string name = net_.leader();
+            return !name.empty() && voters(name) == wanted && !net_.at(name).node->change_in_progress();
+        };
+        CHECK(net_.run_until(reached, ms("within_ms", 2000)));
+    }
+    /// Names of the voters whose incarnation is the running one.
+    std::vector<std::string> voters(const std::string& name) {
+        std::vector<std::string> result;
+        for (const auto& id : net_.at(name).node->members().voters) {
+            result.push_back(net_.at(id.name).id == id ? id.name : id.name + " (old)");
+        }
+        std::sort(result.begin(), result.end());
+        return result;
+    }
+    void do_expect_equal() {
+        const auto leader = net_.leader();
+        REQUIRE_FALSE(leader.empty());
+        for (const auto& id : net_.at(leader).node->members().voters) {
+            CHECK(net_.at(id.name).state == net_.at(leader).state);
+        }
+    }
+
+    fake_network net_;
+    const scenario_step* step_ = nullptr;
+    std::map<std::string, std::string> names_;
+    std::string remembered_;
+    std::uint64_t remembered_term_ = 0;
+    const std::map<std::string, verb> verbs_{
+        {"run", &interpreter::do_run},
+        {"propose", &interpreter::do_propose},
+        {"kill", &interpreter::do_kill},
+        {"restart", &interpreter::do_restart},
+        {"pause", &interpreter::do_pause},
+        {"resume", &interpreter::do_resume},
+        {"cut", &interpreter::do_cut},
+        {"isolate", &interpreter::do_isolate},
+        {"heal", &interpreter::do_heal},
+        {"replace", &interpreter::do_replace},
+        {"change", &interpreter::do_change},
+        {"refuse_change", &interpreter::do_refuse_change},
+        {"await_leader", &interpreter::do_await_leader},
+        {"expect_no_leader", &interpreter::do_expect_no_leader},
+        {"remember_leader", &interpreter::do_remember_leader},
+        {"expect_same_leader", &interpreter::do_expect_same_leader},
+        {"await_voters", &interpreter::do_await_voters},
+        {"expect_equal", &interpreter::do_expect_equal},
+    };
+};
+
+} // namespace
+
+TEST_CASE("scripted scenarios") {
+    const auto files = scenarios_of("consensus");
+    CHECK(files.size() >= 10);
+    for (const auto& file : files) {
+        const scenario script = load_scenario(file);
+        SUBCASE(script.name.c_str()) {
+            CAPTURE(script.guards);
+            interpreter it(script);
+            for (std::size_t n = 0; n < script.steps.size(); ++n) {
+                CAPTURE(n);
+                CAPTURE(script.steps[n].verb);
+                it.run(script.steps[n]);
+            }
+            it.finish();
+        }
+    }
+}
