--- a/src/app/stand_in_endpoints.cpp
+++ b/src/app/stand_in_endpoints.cpp
@@ -52,9 +52,9 @@
 stand_in_endpoints::stand_in_endpoints(asio::io_context& context, const stand_in_options& settings)
     : context_(context), settings_(settings), worker_(context, settings),
       server_(context, settings.listen, settings.connections,
-              [this](http_request request, const auto& connection) {
+              [this](const http_request& request, const auto& connection) {
                   try {
-                      handle(std::move(request), connection);
+                      handle(request, connection);
                   } catch (const invalid_input& e) {
                       const json body{{"source", e.source()}, {"field", e.field()}, {"problem", e.what()}};
                       connection->answer(json_response(400, body), answer_damage::none);
@@ -64,7 +64,7 @@
                   }
               }) {}
 
-void stand_in_endpoints::handle(http_request request, const stand_in_connection_ptr& connection) {
+void stand_in_endpoints::handle(const http_request& request, const stand_in_connection_ptr& connection) {
     sample_load();
     const auto path = request.path();
     if (path == "/kcs/grant") {
@@ -72,7 +72,7 @@
     } else if (path.compare(0, 5, "/kcs/") == 0 || path.compare(0, 10, "/stand-in/") == 0) {
         connection->answer(control(request), answer_damage::none);
     } else {
-        run(std::move(request), connection);
+        run(request, connection);
     }
 }
 
@@ -96,7 +96,7 @@
     return json_response(404, {{"problem", "no such endpoint"}});
 }
 
-void stand_in_endpoints::run(http_request request, const stand_in_connection_ptr& connection) {
+void stand_in_endpoints::run(const http_request& request, const stand_in_connection_ptr& connection) {
     stand_in_task task;
     task.connection = connection;
     task.id = request.header("Kingcupseam-Request-Id");
@@ -109,7 +109,7 @@
     const auto left = std::min(unsigned_header(request, "Kingcupseam-Deadline-Ms", longest_ms), longest_ms);
     task.deadline = steady_now() + std::chrono::milliseconds(left);
     renew(request, task.epoch);
-    task.request = std::move(request);
+    task.request = request;
     worker_.submit(std::move(task));
 }
 
--- a/src/app/stand_in_endpoints.h
+++ b/src/app/stand_in_endpoints.h
@@ -27,8 +27,8 @@
         std::size_t waiting = 0;
     };
 
-    void handle(http_request request, const stand_in_connection_ptr& connection);
-    void run(http_request request, const stand_in_connection_ptr& connection);
+    void handle(const http_request& request, const stand_in_connection_ptr& connection);
+    void run(const http_request& request, const stand_in_connection_ptr& connection);
     void renew(const http_request& request, std::uint64_t epoch);
     void grant(const http_request& request, const stand_in_connection_ptr& connection);
     http_response control(const http_request& request);
