Dial ledger replicas and gates when the view changes

Cause: links were dialled on first use, so the first at-most-once request of a gate found no majority of its ledger replicas and was answered in-doubt.

--- a/src/app/instance/entry.cpp
+++ b/src/app/instance/entry.cpp
@@ -42,6 +42,18 @@
         [this](http_request request, http_reply reply) { handle(std::move(request), std::move(reply)); });
 }
 
+void entry::on_view_changed() {
+    const auto view = views_.load();
+    for (const auto& [data_center, rows] : view->tables) {
+        for (const auto& row : rows->upstreams) {
+            const auto it = view->instances.find(row.gate);
+            if (it != view->instances.end() && row.gate != settings_.name) {
+                mesh_.link_to(row.gate, traffic_address(it->second.address));
+            }
+        }
+    }
+}
+
 void entry::handle(http_request request, http_reply reply) {
     if (stopping_) {
         reply(refusal_answer(not_run(refusal::shutting_down, std::chrono::seconds(1))));
@@ -163,8 +175,7 @@
     if (result == outcome::unknown) {
         return !it.request.at_most_once && reason == refusal::upstream_failed;
     }
-    return reason == refusal::shutting_down ||
-           reason == refusal::upstream_failed;
+    return reason == refusal::shutting_down || reason == refusal::upstream_failed;
 }
 
 void entry::on_response(const call_ptr& it, const wire::ForwardResponse& response) {
--- a/src/app/instance/entry.h
+++ b/src/app/instance/entry.h
@@ -24,6 +24,8 @@
     entry(asio::io_context& context, const settings::instance_settings& settings, std::uint64_t incarnation,
           const view_holder& views, metrics::registry& registry, local_gate gate);
 
+    /// Dials the gates of a new view, so that no request waits for a connection.
+    void on_view_changed();
     /// Refuses new requests; those in progress go on.
     void start_stopping();
     std::size_t in_progress() const noexcept { return in_progress_; }
--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -89,6 +89,7 @@
 
 void gate::on_view_changed() {
     const auto view = views_.load();
+    dial_ledger_replicas(*view);
     const auto* rows = view->local_table();
     if (rows == nullptr) {
         return;
@@ -119,6 +120,15 @@
     report(steady_now());
 }
 
+void gate::dial_ledger_replicas(const routing_view& view) {
+    // Without open links the first request of a shard would find no majority of its ledger replicas.
+    for (const auto& [name, it] : view.instances) {
+        if (name != settings_.name && it.data_center == settings_.data_center) {
+            mesh_.link_to(name, traffic_address(it.address));
+        }
+    }
+}
+
 upstream_gate* gate::find(const std::string& upstream) {
     const auto it = upstreams_.find(upstream);
     if (it != upstreams_.end()) {
--- a/src/app/instance/gate.h
+++ b/src/app/instance/gate.h
@@ -35,6 +35,7 @@
     void report(time_point now);
     void on_frame(const std::shared_ptr<transport::connection>& from, transport::frame received);
     void on_forward(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
+    void dial_ledger_replicas(const routing_view& view);
     void share(const std::vector<admission::suspect_list::suspect>& changed);
     upstream_gate* find(const std::string& upstream);
     upstream_gate* direct_gate(const std::string& upstream);
--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -84,6 +84,7 @@
         control::observer{[this](std::shared_ptr<const routing_view> view) {
                               views_.store(std::move(view));
                               asio::post(gate_worker_.io, [this] { gate_->on_view_changed(); });
+                              asio::post(entry_worker_.io, [this] { entry_->on_view_changed(); });
                           },
                           [this](time_point end) { gate_->set_lease_end(end); }});
     gate_->on_report([this](gate_report report) {
