Retry an election sooner after a split vote

At three voters the 99th percentile of the time from the loss of the leader to the next one falls from 579 to 391 virtual ms in bench_consensus_commit (500 runs, 1 ms delay); five voters: maximum 572 to 402 ms.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -30,8 +30,7 @@
     votes = {settings.self};
     // Other voters may have heard from the leader up to a heartbeat later; a whole election timeout between
     // attempts would delay elections that become possible within a heartbeat.
-    const auto interval = static_cast<std::uint64_t>(settings.heartbeat_interval.count());
-    deadline = now + settings.heartbeat_interval + duration(static_cast<std::int64_t>(random() % interval));
+    retry_within(1);
     if (votes.size() >= quorum()) {
         start_election();
         return;
@@ -39,11 +38,19 @@
     request_votes(message_kind::pre_vote_request, hard.term + 1);
 }
 
+/// Sets the deadline one heartbeat interval ahead, plus a random part of @p spread intervals.
+void node::state::retry_within(std::uint64_t spread) {
+    const auto range = static_cast<std::uint64_t>(settings.heartbeat_interval.count()) * spread + 1;
+    deadline = now + settings.heartbeat_interval + duration(static_cast<std::int64_t>(random() % range));
+}
+
 void node::state::start_election() {
     save(hard.term + 1, vote_for(settings.self));
     current = role::candidate;
     votes = {settings.self};
-    reset_deadline();
+    // With two voters left, a split vote is common; waiting an election timeout after it took elections at
+    // three voters beyond 400 ms.
+    retry_within(2);
     if (votes.size() >= quorum()) {
         become_leader();
         return;
--- a/src/consensus/state.h
+++ b/src/consensus/state.h
@@ -35,6 +35,7 @@
     bool hears_leader() const;
     bool up_to_date(const message& candidate) const;
     void start_pre_vote();
+    void retry_within(std::uint64_t spread);
     void start_election();
     void request_votes(message_kind kind, std::uint64_t term);
     void on_pre_vote_request(const message& m);
