--- a/src/consensus/replacement.cpp
+++ b/src/consensus/replacement.cpp
@@ -131,7 +131,7 @@
     if (!is_majority(state.live_voters.size(), view.members.voters.size())) {
         return std::nullopt;
     }
-    if (const auto change = removal(state, view, settings_.voters)) {
+    if (auto change = removal(state, view, settings_.voters)) {
         return change;
     }
     if (const auto learner = state.first_learner(true)) {
--- a/tests/consensus/fake_network.cpp
+++ b/tests/consensus/fake_network.cpp
@@ -137,7 +137,8 @@
 }
 
 bool fake_network::is_cut(const std::string& from, const std::string& to) const {
-    return cuts_.contains({from, to}) || cuts_.contains({from, "*"}) || cuts_.contains({"*", to});
+    return !cuts_.empty() &&
+           (cuts_.contains({from, to}) || cuts_.contains({from, "*"}) || cuts_.contains({"*", to}));
 }
 
 bool fake_network::chance(double probability) {
