--- a/src/app/load_runner.cpp
+++ b/src/app/load_runner.cpp
@@ -72,7 +72,7 @@
     it->idempotency_key = keys_.next();
     ++in_progress_;
     it->outstanding = 1;
-    send_attempt(it, 0);
+    send_attempt(it);
     const auto& work = work_.at(static_cast<std::size_t>(plan.kind));
     if (!repeatable(work) && draw(settings_.resend_fraction)) {
         ++it->outstanding;
@@ -85,18 +85,27 @@
     auto timer = std::make_shared<asio::steady_timer>(context_, delay);
     timer->async_wait([this, timer, it](const asio::error_code& ec) {
         if (!ec) {
-            send_attempt(it, 0);
+            send_attempt(it);
         }
     });
 }
 
-void load_runner::send_attempt(const request_ptr& it, std::size_t tries) {
-    if (tries == 0) {
-        ++it->attempts;
-    }
-    const auto address = next_address_++ % settings_.addresses.size();
-    client_.send(make_call(*it, address),
-                 [this, it, tries](const http_result& result) { on_result(it, tries, result); });
+void load_runner::send_attempt(const request_ptr& it) {
+    ++it->attempts;
+    send_to(it, next_address_++, 0);
+}
+
+void load_runner::send_to(const request_ptr& it, std::size_t first, std::size_t tries) {
+    const auto address = (first + tries) % settings_.addresses.size();
+    client_.send(make_call(*it, address), [this, it, first, tries](const http_result& result) {
+        const bool unsent =
+            result.failure == http_failure::refused || result.failure == http_failure::not_sent;
+        if (unsent && tries + 1 < settings_.addresses.size()) {
+            send_to(it, first, tries + 1);
+        } else {
+            on_result(it, result);
+        }
+    });
 }
 
 http_call load_runner::make_call(const request& it, std::size_t address) const {
@@ -113,17 +122,12 @@
     return call;
 }
 
-void load_runner::on_result(const request_ptr& it, std::size_t tries, const http_result& result) {
-    const bool unsent = result.failure == http_failure::refused || result.failure == http_failure::not_sent;
-    if (unsent && tries + 1 < settings_.addresses.size()) {
-        send_attempt(it, tries + 1);
-        return;
-    }
+void load_runner::on_result(const request_ptr& it, const http_result& result) {
     bool unclear = false;
     if (result.failure == http_failure::none) {
         judge_answer(*it, result.answer);
         unclear = header_of(result.answer, "kingcupseam-outcome") == to_string(outcome::unknown);
-    } else if (unsent) {
+    } else if (result.failure == http_failure::refused || result.failure == http_failure::not_sent) {
         it->failed = true;
     } else {
         it->lost = true;
--- a/src/app/load_runner.h
+++ b/src/app/load_runner.h
@@ -39,10 +39,12 @@
 
     void send_due();
     void begin(const planned_request& plan);
-    void send_attempt(const request_ptr& it, std::size_t tries);
+    void send_attempt(const request_ptr& it);
+    /// Sends to the address that is @p tries after @p first.
+    void send_to(const request_ptr& it, std::size_t first, std::size_t tries);
     void send_later(const request_ptr& it, duration delay);
     http_call make_call(const request& it, std::size_t address) const;
-    void on_result(const request_ptr& it, std::size_t tries, const http_result& result);
+    void on_result(const request_ptr& it, const http_result& result);
     void judge_answer(request& it, const http_response& answer);
     void judge_body(request& it, const http_response& answer);
     void resend_when_unclear(const request_ptr& it, bool unclear);
