--- a/tests/process/stand_in_process_test.cpp
+++ b/tests/process/stand_in_process_test.cpp
@@ -31,6 +31,7 @@
     explicit child(std::vector<std::string> words) {
         words.insert(words.begin(), KINGCUPSEAM_BINARY);
         std::vector<char*> argv;
+        argv.reserve(words.size() + 1);
         for (auto& it : words) {
             argv.push_back(it.data());
         }
