--- a/include/kingcupseam/types.h
+++ b/include/kingcupseam/types.h
@@ -71,7 +71,7 @@
 struct instance_id {
     std::string name;
     std::uint64_t incarnation = 0;
-    auto operator<=>(const instance_id&) const = default;
+    auto operator<=>(const instance_id&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads it
 };
 
 /// A TCP or UDP endpoint, by IP number.
--- a/src/app/instance/data_center_leader.cpp
+++ b/src/app/instance/data_center_leader.cpp
@@ -279,7 +279,7 @@
     mirror.generation = static_cast<std::int64_t>(generation_);
     mirror.version = static_cast<std::int64_t>(rows->version);
     mirror.table = ownership::encode(*rows);
-    global_.propose(encode_mirror(std::move(mirror)), [this, rows](const auto& result) {
+    global_.propose(encode_mirror(mirror), [this, rows](const auto& result) {
         mirroring_ = 0;
         if (!result) {
             // Cut off from the global group: the data centre goes on with its own group alone.
--- a/src/app/instance/entry.cpp
+++ b/src/app/instance/entry.cpp
@@ -39,7 +39,7 @@
             {settings.heartbeat_interval, settings.heartbeat_timeout}, [](const auto&, const auto&) {}) {
     server_ = std::make_unique<http_server>(
         context, http_server_options{settings.caller_listen},
-        [this](http_request request, http_reply reply) { handle(std::move(request), std::move(reply)); });
+        [this](const http_request& request, http_reply reply) { handle(request, std::move(reply)); });
 }
 
 void entry::on_view_changed() {
@@ -54,7 +54,7 @@
     }
 }
 
-void entry::handle(http_request request, http_reply reply) {
+void entry::handle(const http_request& request, http_reply reply) {
     if (stopping_) {
         reply(refusal_answer(not_run(refusal::shutting_down, std::chrono::seconds(1))));
         return;
--- a/src/app/instance/entry.h
+++ b/src/app/instance/entry.h
@@ -44,7 +44,7 @@
     };
     using call_ptr = std::shared_ptr<call>;
 
-    void handle(http_request request, http_reply reply);
+    void handle(const http_request& request, http_reply reply);
     call_ptr make_call(const http_request& request, const profile::match& matched, http_reply reply) const;
     void route(const call_ptr& it);
     void forward(const call_ptr& it, const std::string& instance);
--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -43,7 +43,7 @@
         context, traffic_address(settings.peer_listen),
         transport::peer_identity{{settings.name, incarnation}, settings.data_center},
         link_options_of(settings),
-        [this](const auto& from, transport::frame received) { on_frame(from, std::move(received)); });
+        [this](const auto& from, const transport::frame& received) { on_frame(from, received); });
     schedule_tick();
 }
 
@@ -161,10 +161,10 @@
     queued->digest = digest_of(request);
     queued->wire = std::move(request);
     queued->waiters.push_back(std::move(reply));
-    target->submit(std::move(queued));
+    target->submit(queued);
 }
 
-void gate::on_frame(const std::shared_ptr<transport::connection>& from, transport::frame received) {
+void gate::on_frame(const std::shared_ptr<transport::connection>& from, const transport::frame& received) {
     using transport::frame_type;
     switch (received.type) {
     case frame_type::forward_request:
--- a/src/app/instance/gate.h
+++ b/src/app/instance/gate.h
@@ -33,7 +33,7 @@
     void schedule_tick();
     void tick();
     void report(time_point now);
-    void on_frame(const std::shared_ptr<transport::connection>& from, transport::frame received);
+    void on_frame(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void on_forward(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void dial_ledger_replicas(const routing_view& view);
     void share(const std::vector<admission::suspect_list::suspect>& changed);
--- a/src/app/instance/gate_request.h
+++ b/src/app/instance/gate_request.h
@@ -12,7 +12,7 @@
 
 namespace kingcupseam::app {
 
-using gate_reply = std::function<void(wire::ForwardResponse)>;
+using gate_reply = std::function<void(const wire::ForwardResponse&)>;
 
 /// One request at its gate, from its arrival to its answer.
 struct gate_request {
--- a/src/app/instance/global_leader.cpp
+++ b/src/app/instance/global_leader.cpp
@@ -93,7 +93,7 @@
             spdlog::info("forming data centre group data_center={} generation={}", data_center,
                          formation->generation);
             formation_in_progress_ = true;
-            group_->propose(encode_formation(std::move(*formation)),
+            group_->propose(encode_formation(*formation),
                             [this](const auto&) { formation_in_progress_ = false; });
             return;
         }
--- a/src/app/instance/global_state.cpp
+++ b/src/app/instance/global_state.cpp
@@ -97,21 +97,21 @@
     return transport::encode(command);
 }
 
-std::string encode_formation(wire::GroupFormation formation) {
+std::string encode_formation(const wire::GroupFormation& formation) {
     wire::GlobalCommand command;
-    command.__set_formation(std::move(formation));
+    command.__set_formation(formation);
     return transport::encode(command);
 }
 
-std::string encode_homes(wire::ServiceHomes homes) {
+std::string encode_homes(const wire::ServiceHomes& homes) {
     wire::GlobalCommand command;
-    command.__set_homes(std::move(homes));
+    command.__set_homes(homes);
     return transport::encode(command);
 }
 
-std::string encode_mirror(wire::TableMirror mirror) {
+std::string encode_mirror(const wire::TableMirror& mirror) {
     wire::GlobalCommand command;
-    command.__set_mirror(std::move(mirror));
+    command.__set_mirror(mirror);
     return transport::encode(command);
 }
 
--- a/src/app/instance/global_state.h
+++ b/src/app/instance/global_state.h
@@ -33,9 +33,9 @@
 };
 
 std::string encode_profile_change(const profile::change& change);
-std::string encode_formation(wire::GroupFormation formation);
-std::string encode_homes(wire::ServiceHomes homes);
-std::string encode_mirror(wire::TableMirror mirror);
+std::string encode_formation(const wire::GroupFormation& formation);
+std::string encode_homes(const wire::ServiceHomes& homes);
+std::string encode_mirror(const wire::TableMirror& mirror);
 profile::change_result decode_change_result(const std::string& bytes);
 
 } // namespace kingcupseam::app
--- a/src/app/instance/global_tier.cpp
+++ b/src/app/instance/global_tier.cpp
@@ -189,13 +189,14 @@
         done(reply);
         return;
     }
-    group_->propose(request.command, [this, done = std::move(done)](std::optional<std::string> result) {
-        wire::CommandReply reply;
-        reply.committed = result.has_value();
-        reply.result = result.value_or("");
-        reply.leader = leader_;
-        done(reply);
-    });
+    group_->propose(request.command,
+                    [this, done = std::move(done)](const std::optional<std::string>& result) {
+                        wire::CommandReply reply;
+                        reply.committed = result.has_value();
+                        reply.result = result.value_or("");
+                        reply.leader = leader_;
+                        done(reply);
+                    });
 }
 
 } // namespace kingcupseam::app
--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -43,6 +43,7 @@
     void run();
 
 private:
+    void submit_to_gate(wire::ForwardRequest request, gate_reply reply);
     void start_shutdown();
     void poll_shutdown();
     void finish_shutdown();
@@ -67,18 +68,10 @@
 
 instance::instance(const settings::instance_settings& settings) : settings_(settings) {
     gate_ = std::make_unique<gate>(gate_worker_.io, settings_, incarnation_, views_, registry_);
-    entry_ = std::make_unique<entry>(
-        entry_worker_.io, settings_, incarnation_, views_, registry_,
-        [this](wire::ForwardRequest request, gate_reply reply) {
-            asio::post(gate_worker_.io, [this, request = std::move(request),
-                                         reply = std::move(reply)]() mutable {
-                gate_->submit(std::move(request),
-                              [this, reply = std::move(reply)](wire::ForwardResponse response) {
-                                  asio::post(entry_worker_.io,
-                                             [reply, response = std::move(response)] { reply(response); });
-                              });
-            });
-        });
+    entry_ = std::make_unique<entry>(entry_worker_.io, settings_, incarnation_, views_, registry_,
+                                     [this](wire::ForwardRequest request, gate_reply reply) {
+                                         submit_to_gate(std::move(request), std::move(reply));
+                                     });
     control_ = std::make_unique<control>(
         control_worker_.io, settings_, incarnation_, registry_,
         control::observer{[this](std::shared_ptr<const routing_view> view) {
@@ -94,6 +87,16 @@
     });
 }
 
+void instance::submit_to_gate(wire::ForwardRequest request, gate_reply reply) {
+    gate_reply on_entry_thread = [this, reply = std::move(reply)](const wire::ForwardResponse& response) {
+        asio::post(entry_worker_.io, [reply, response] { reply(response); });
+    };
+    asio::post(gate_worker_.io,
+               [this, request = std::move(request), reply = std::move(on_entry_thread)]() mutable {
+                   gate_->submit(std::move(request), std::move(reply));
+               });
+}
+
 void instance::run() {
     signals_.async_wait([this](const asio::error_code& ec, int) {
         if (!ec) {
--- a/src/app/instance/ledger_host.cpp
+++ b/src/app/instance/ledger_host.cpp
@@ -47,8 +47,8 @@
     return table->ledger_groups[shard % table->ledger_groups.size()].replicas;
 }
 
-void ledger_host::begin(const ledger::record& wanted, ledger::writer::on_decision done) {
-    send(writer_.begin(wanted, replicas_of(wanted.shard), std::move(done), steady_now()));
+void ledger_host::begin(const ledger::record& wanted, const ledger::writer::on_decision& done) {
+    send(writer_.begin(wanted, replicas_of(wanted.shard), done, steady_now()));
 }
 
 void ledger_host::finish(const ledger::record& result) {
@@ -64,7 +64,7 @@
     send(writer_.tick(now));
 }
 
-void ledger_host::send(std::vector<ledger::outgoing> messages) {
+void ledger_host::send(const std::vector<ledger::outgoing>& messages) {
     for (const auto& it : messages) {
         if (it.write) {
             send_write(it);
--- a/src/app/instance/ledger_host.h
+++ b/src/app/instance/ledger_host.h
@@ -16,7 +16,7 @@
 public:
     ledger_host(std::string self, peer_mesh& mesh, const view_holder& views);
 
-    void begin(const ledger::record& wanted, ledger::writer::on_decision done);
+    void begin(const ledger::record& wanted, const ledger::writer::on_decision& done);
     void finish(const ledger::record& result);
     void abandon(const std::string& service, std::uint32_t shard, const std::string& key);
     ledger::writer& writer() noexcept { return writer_; }
@@ -27,7 +27,7 @@
 
 private:
     std::vector<std::string> replicas_of(std::uint32_t shard) const;
-    void send(std::vector<ledger::outgoing> messages);
+    void send(const std::vector<ledger::outgoing>& messages);
     void send_write(const ledger::outgoing& message);
     void send_seal(const ledger::outgoing& message);
     transport::peer_link* link_to(const std::string& replica);
--- a/src/app/instance/upstream_gate.cpp
+++ b/src/app/instance/upstream_gate.cpp
@@ -80,7 +80,7 @@
     return owner != nullptr && owner->name == row_.name;
 }
 
-void upstream_gate::submit(gate_request_ptr request) {
+void upstream_gate::submit(const gate_request_ptr& request) {
     if (handed_over_ || !still_owner(*request)) {
         request->answer(not_run(refusal::stale_route));
         return;
--- a/src/app/instance/upstream_gate.h
+++ b/src/app/instance/upstream_gate.h
@@ -42,7 +42,7 @@
 
     /// Takes over a newer row of the routing table.
     void update(const ownership::table& rows, const ownership::upstream_row& next);
-    void submit(gate_request_ptr request);
+    void submit(const gate_request_ptr& request);
     void tick(time_point now);
     /// Another instance is the gate now: refuses what waits; what is in flight ends by itself.
     void hand_over();
