--- a/src/app/profile_command.cpp
+++ b/src/app/profile_command.cpp
@@ -69,6 +69,17 @@
     return values["subject"].as<std::string>();
 }
 
+/// Some instances send a problem that already starts with source and field.
+std::string described_problem(const json& value) {
+    const std::string source = text_of(value, "source");
+    std::string problem = text_of(value, "problem");
+    if (problem.rfind(source + ": ", 0) == 0) {
+        return problem;
+    }
+    const std::string field = text_of(value, "field");
+    return source + ": " + (field.empty() ? "" : field + ": ") + problem;
+}
+
 int report_acceptance(const operator_answer& answer, const std::string& name, const std::string& change_id,
                       std::ostream& out, std::ostream& err) {
     const json value = parse_answer(answer);
@@ -79,7 +90,8 @@
         return exit_success;
     }
     case 400:
-        throw invalid_input(text_of(value, "source"), text_of(value, "field"), text_of(value, "problem"));
+        err << "kingcupseam: " << described_problem(value) << "\n";
+        return exit_invalid_input;
     case 409:
         err << "kingcupseam: conflict: " << name << " version " << version_of(value)
             << " is in force; compare with `profile diff`, then accept with --base-version "
--- a/tests/app/profile_command_test.cpp
+++ b/tests/app/profile_command_test.cpp
@@ -133,6 +133,12 @@
         CHECK(it.code == app::exit_invalid_input);
         CHECK(it.err == "kingcupseam: s: f: p\n");
     }
+    SUBCASE("a problem that already names source and field is not given twice") {
+        const raw_http_responder instance([](const raw_request& /*request*/) {
+            return raw_http_responder::json(400, R"({"source":"s","field":"f","problem":"s: f: p"})");
+        });
+        CHECK(profile(accept_at({instance.address()})).err == "kingcupseam: s: f: p\n");
+    }
     SUBCASE("a refused token is not tried on further listeners") {
         const raw_http_responder instance(
             [](const raw_request& /*request*/) { return raw_http_responder::json(401, "{}"); });
