--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -6,6 +6,9 @@
 
 #include "support/failure.h"
 
+#include <regex>
+#include <sstream>
+
 using namespace kingcupseam;
 using test::failure_of;
 
@@ -139,3 +142,39 @@
         CHECK(problem_with(seed_b + seed_b) == "node.toml: seeds[1].name: is used by two seeds");
     }
 }
+
+namespace {
+
+struct documented_key {
+    std::string name;
+    std::string range;    ///< such as "50 to 60000"
+    std::string fallback; ///< a number
+};
+
+/// Rows of the settings table in docs/operators.md whose default is a number.
+std::vector<documented_key> documented_numbers() {
+    std::istringstream page(config::read_file(KINGCUPSEAM_SOURCE_DIR "/docs/operators.md"));
+    std::vector<documented_key> result;
+    std::string line;
+    while (std::getline(page, line) && line != "## First profile") {
+        std::smatch found;
+        if (std::regex_match(line, found,
+                             std::regex("\\| `([a-z_]+)` \\|.*\\| ([0-9]+ to [0-9]+).*\\| ([0-9]+) \\|"))) {
+            result.push_back({found[1], found[2], found[3]});
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("the operators' page states the ranges and defaults of the code") {
+    const auto keys = documented_numbers();
+    CHECK(keys.size() == 6);
+    for (const auto& it : keys) {
+        CAPTURE(it.name);
+        CHECK(parse(minimal + it.name + " = " + it.fallback + "\n") == parse(minimal));
+        CHECK(problem_with(it.name + " = -1\n") ==
+              "node.toml: " + it.name + ": must be an integer of " + it.range);
+    }
+}
