--- a/tests/metrics/metrics_test.cpp
+++ b/tests/metrics/metrics_test.cpp
@@ -3,6 +3,7 @@
 #include <kingcupseam/error.h>
 #include <kingcupseam/metrics.h>
 
+#include <latch>
 #include <thread>
 
 using namespace kingcupseam;
@@ -61,11 +62,15 @@
         CHECK(latencies.quantile(0.5) == huge);
     }
     SUBCASE("no value is lost when threads record at the same time") {
+        // More threads than stripes, started together and for long enough to run at the same time.
+        constexpr std::uint64_t per_thread = 200'000;
+        std::latch start(8);
         std::vector<std::thread> threads;
-        threads.reserve(6);
-        for (int n = 0; n < 6; ++n) {
+        threads.reserve(8);
+        for (int n = 0; n < 8; ++n) {
             threads.emplace_back([&] {
-                for (std::uint64_t it = 0; it < 20'000; ++it) {
+                start.arrive_and_wait();
+                for (std::uint64_t it = 0; it < per_thread; ++it) {
                     latencies.record(it);
                 }
             });
@@ -73,8 +78,8 @@
         for (auto& it : threads) {
             it.join();
         }
-        CHECK(latencies.count() == 120'000);
-        CHECK(latencies.mean() == doctest::Approx(9999.5));
+        CHECK(latencies.count() == 8 * per_thread);
+        CHECK(latencies.mean() == doctest::Approx(99'999.5));
     }
 }
 
