Wait for the former gate of an upstream that does not check grants

A gate that is cut off keeps dispatching to an upstream that checks nothing, while the next gate already has its acknowledgement; the next gate now waits for the lease of the former one. A gate that took over reported the end of its own grants as an acknowledgement; grant_issuer::acknowledged() tells the two apart.

--- a/include/kingcupseam/ownership.h
+++ b/include/kingcupseam/ownership.h
@@ -180,8 +180,10 @@
 struct cluster_view {
     std::set<std::string>
         live_instances; ///< instances of this data centre that may be gates and ledger replicas
-    /// Latest time at which each upstream's grant can still be live, as reported by its gate or derived from
-    /// the gate's lease; absent: surely ended.
+    /// Latest time at which each upstream's grant can still be live, over all gates that it has had; absent:
+    /// surely ended. For each gate this is the end of its lease. The earlier time that a gate reports counts
+    /// only for an upstream that is lost, and once the gate has applied the table in which it is: until then
+    /// the gate may renew.
     std::map<std::string, time_point> grant_may_live_until;
     /// Upstreams whose revocation at the table's version was acknowledged.
     std::map<std::string, epoch_number> acknowledged_version;
@@ -271,7 +273,11 @@
     /// Latest time at which the upstream can hold a live grant from this gate; time_point{} before the first
     /// one.
     time_point may_live_until() const noexcept;
+    /// True once this gate's own grants have ended. A gate that took over may see this while a grant of the
+    /// former gate is live, so only acknowledged() counts for cluster_view::acknowledged_version.
     bool revoked(time_point now) const;
+    /// True once the upstream accepted the assigned version or the revocation.
+    bool acknowledged() const noexcept;
     /// Number of pushes in a row that failed or went unanswered.
     std::uint32_t failures() const noexcept;
 
--- a/src/ownership/grant_issuer.cpp
+++ b/src/ownership/grant_issuer.cpp
@@ -195,6 +195,10 @@
     return state_->revoking && (state_->accepted || state_->superseded || now >= state_->live_until);
 }
 
+bool grant_issuer::acknowledged() const noexcept {
+    return state_->accepted;
+}
+
 std::uint32_t grant_issuer::failures() const noexcept {
     return state_->failures;
 }
--- a/src/ownership/plan_instances.cpp
+++ b/src/ownership/plan_instances.cpp
@@ -90,6 +90,15 @@
     even_out(choices, counts, role, other);
 }
 
+// Nothing at an upstream that does not check grants refuses a former gate, so the next one waits for the end
+// of the former one's lease. Its acknowledgements would otherwise end moves while the former gate still
+// dispatches.
+bool waits_for_former_gate(const planning& input, const upstream_row& row) {
+    const auto until = input.view.grant_may_live_until.find(row.name);
+    return !row.checks_grants && !row.gate.empty() && until != input.view.grant_may_live_until.end() &&
+           input.now <= until->second;
+}
+
 /// Replicas and joining instances of every group, counted for live instances.
 instance_counts count_replicas(const planning& input) {
     auto counts = empty_counts(input);
@@ -147,7 +156,11 @@
     assign_role(choices, input, &gate_choice::gate, &gate_choice::standby);
     assign_role(choices, input, &gate_choice::standby, &gate_choice::gate);
     for (const auto& it : choices) {
-        if (it.gate != it.row->gate || it.standby != it.row->standby) {
+        const bool other_gate = it.gate != it.row->gate;
+        if (other_gate && waits_for_former_gate(input, *it.row)) {
+            continue;
+        }
+        if (other_gate || it.standby != it.row->standby) {
             out.emplace_back(set_gate{it.row->name, it.gate, it.standby});
         }
     }
--- a/tests/ownership/grant_test.cpp
+++ b/tests/ownership/grant_test.cpp
@@ -118,6 +118,16 @@
     CHECK(gate.may_live_until() <= start + 200ms);
 }
 
+TEST_CASE("a gate that took over does not report an acknowledgement that it never got") {
+    grant_issuer gate(600ms, 150ms);
+    grant_holder upstream(6);
+    gate.revoke(9);
+    CHECK(gate.revoked(start));
+    CHECK_FALSE(gate.acknowledged());
+    exchange(gate, upstream, start, start + 10s);
+    CHECK(gate.acknowledged());
+}
+
 TEST_CASE("requests renew only an accepted grant") {
     grant_issuer gate(600ms, 150ms);
     grant_holder upstream(5);
--- a/tests/ownership/planner_test.cpp
+++ b/tests/ownership/planner_test.cpp
@@ -206,6 +206,25 @@
     }
 }
 
+TEST_CASE("an upstream that does not check grants gets its next gate after the lease of the former one") {
+    group it;
+    upstream_row row;
+    row.name = "a";
+    row.service = "s";
+    row.checks_grants = false;
+    row.condition = upstream_status::active;
+    REQUIRE(it.apply(register_upstream{row, 96, {}}));
+    it.settle();
+    const auto former = it.rows().find("a")->gate;
+    it.view.grant_may_live_until["a"] = start + 500ms;
+    it.view.live_instances.erase(former);
+    it.settle();
+    CHECK(it.rows().find("a")->gate == former);
+    it.now = start + 501ms;
+    it.settle();
+    CHECK(it.rows().find("a")->gate != former);
+}
+
 TEST_CASE("hot keys move alone, where it helps, within their limit") {
     group it;
     for (const auto* name : {"a", "b", "c"}) {
--- a/tests/ownership/world_processes.cpp
+++ b/tests/ownership/world_processes.cpp
@@ -19,7 +19,8 @@
     }
     for (const auto& it : gates->second) {
         const auto known = leader_.reports.find({it, row.name});
-        if (known != leader_.reports.end() && make_epoch(1, known->second.table_version) >= row.version) {
+        if (row.condition == upstream_status::lost && known != leader_.reports.end() &&
+            make_epoch(1, known->second.table_version) >= row.version) {
             const auto remaining = known->second.remaining;
             bound = std::max(bound, known->second.received + remaining + clock_drift(remaining));
         } else if (const auto lease_bound = leader_.gate_bound.find(it);
@@ -112,7 +113,7 @@
             continue;
         }
         failed[own->first] = own->second.issuer.failures();
-        if (own->second.issuer.revoked(now) || own->second.issuer.may_dispatch(now)) {
+        if (own->second.issuer.acknowledged()) {
             accepted[row.name] = row.version;
         }
     }
