--- a/src/membership/member_list.cpp
+++ b/src/membership/member_list.cpp
@@ -27,39 +27,34 @@
 } // namespace
 
 bool member_list::apply(const record& received, time_point now) {
-    const auto& name = received.id.name;
-    const auto it = members_.find(name);
+    const auto it = members_.find(received.id.name);
     if (it == members_.end()) {
         // The end of an instance that was never known needs no passing on, and would return forgotten
         // records.
-        if (!usable(received.condition)) {
-            return false;
+        if (usable(received.condition)) {
+            set(members_[received.id.name], received, now);
         }
-        members_[name] = {received, now, 0, 0};
-        suspects_ += received.condition == status::suspect ? 1 : 0;
-        queue(name);
-        return true;
+        return usable(received.condition);
     }
-    if (!supersedes(received, it->second.known)) {
+    const auto before = it->second.known;
+    if (!supersedes(received, before)) {
         return false;
     }
-    const auto before = it->second.known;
-    it->second = {received, now, 0, 0};
-    suspects_ += received.condition == status::suspect ? 1 : 0;
     suspects_ -= before.condition == status::suspect ? 1 : 0;
-    queue(name);
+    set(it->second, received, now);
     return before.condition != received.condition || before.id != received.id;
 }
 
-void member_list::queue(const std::string& name) {
-    if (std::find(queue_.begin(), queue_.end(), name) == queue_.end()) {
-        queue_.push_back(name);
+void member_list::set(member& it, const record& received, time_point now) {
+    suspects_ += received.condition == status::suspect ? 1 : 0;
+    if (!it.queued) {
+        queue_.push_back(&it);
     }
+    it = {received, now, 0, 0, true};
 }
 
 void member_list::announce_self(const record& self) {
-    self_ = {self, {}, 0, 0};
-    queue(self.id.name);
+    set(self_, self, {});
 }
 
 std::uint32_t member_list::transmission_limit() const {
@@ -67,26 +62,20 @@
 }
 
 std::vector<record> member_list::changes_to_send() {
-    std::vector<member*> pending;
-    for (const auto& name : queue_) {
-        const auto it = members_.find(name);
-        pending.push_back(it == members_.end() ? &self_ : &it->second);
-    }
-    std::stable_sort(pending.begin(), pending.end(),
-                     [](const member* a, const member* b) { return a->transmitted < b->transmitted; });
-    pending.resize(std::min(pending.size(), settings_.max_piggyback));
+    const auto count = std::min(queue_.size(), settings_.max_piggyback);
+    const auto end = queue_.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(queue_.begin(), end, queue_.end(),
+                      [](const member* a, const member* b) { return a->transmitted < b->transmitted; });
     std::vector<record> result;
-    result.reserve(pending.size());
-    for (auto* it : pending) {
-        ++it->transmitted;
-        result.push_back(it->known);
-    }
+    result.reserve(count);
     const auto limit = transmission_limit();
-    const auto sent_enough = [&](const std::string& name) {
-        const auto it = members_.find(name);
-        return (it == members_.end() ? self_ : it->second).transmitted >= limit;
-    };
-    queue_.erase(std::remove_if(queue_.begin(), queue_.end(), sent_enough), queue_.end());
+    for (std::size_t n = 0; n < count; ++n) {
+        auto& it = *queue_[n];
+        result.push_back(it.known);
+        it.queued = ++it.transmitted < limit;
+    }
+    queue_.erase(std::remove_if(queue_.begin(), queue_.end(), [](const member* it) { return !it->queued; }),
+                 queue_.end());
     return result;
 }
 
@@ -115,7 +104,7 @@
         const bool over =
             !usable(it->second.known.condition) && now - it->second.since > settings_.dead_retention;
         if (over) {
-            queue_.erase(std::remove(queue_.begin(), queue_.end(), it->first), queue_.end());
+            queue_.erase(std::remove(queue_.begin(), queue_.end(), &it->second), queue_.end());
         }
         it = over ? members_.erase(it) : std::next(it);
     }
--- a/src/membership/member_list.h
+++ b/src/membership/member_list.h
@@ -15,6 +15,7 @@
         time_point since{};            ///< when the status was learned
         std::uint32_t transmitted = 0; ///< how often this record was passed on
         std::uint32_t checks = 0;      ///< probes sent to the member because it is a suspect
+        bool queued = false;           ///< whether the record is still to be passed on
     };
 
     member_list(const options& settings, std::mt19937_64& random) : settings_(settings), random_(random) {}
@@ -42,14 +43,14 @@
 
 private:
     std::uint32_t transmission_limit() const;
-    void queue(const std::string& name);
+    void set(member& it, const record& received, time_point now);
 
     const options& settings_;
     std::mt19937_64& random_;
     std::map<std::string, member> members_;
     std::size_t suspects_ = 0;
     member self_;
-    std::vector<std::string> queue_; ///< names with a record to pass on
+    std::vector<member*> queue_;     ///< members with a record to pass on
     std::vector<std::string> round_; ///< names that are still to be probed in this round
 };
 
