--- a/include/kingcupseam/types.h
+++ b/include/kingcupseam/types.h
@@ -71,7 +71,8 @@
 struct instance_id {
     std::string name;
     std::uint64_t incarnation = 0;
-    auto operator<=>(const instance_id&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads it
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted comparison.
+    auto operator<=>(const instance_id&) const = default;
 };
 
 /// A TCP or UDP endpoint, by IP number.
--- a/src/app/instance/data_center_leader.cpp
+++ b/src/app/instance/data_center_leader.cpp
@@ -93,7 +93,8 @@
     gate.grants_live_until.clear();
     for (const auto& it : request.reports) {
         if (it.lease_left_us > 0) {
-            gate.grants_live_until[it.name] = now + duration(it.lease_left_us) + drift_margin;
+            gate.grants_live_until[{it.name, static_cast<std::uint64_t>(it.incarnation)}] =
+                now + duration(it.lease_left_us) + drift_margin;
         }
         const auto* row = machine_->current()->find(it.name);
         if (row == nullptr || row->gate != request.gate.name ||
@@ -118,7 +119,7 @@
             // It may renew the grant, or may have done so since its last report, but never past its own
             // lease.
             bound = std::max(bound, it.lease_until);
-        } else if (const auto grant = it.grants_live_until.find(row.name);
+        } else if (const auto grant = it.grants_live_until.find({row.name, row.incarnation});
                    grant != it.grants_live_until.end()) {
             bound = std::max(bound, grant->second);
         }
@@ -126,6 +127,31 @@
     return bound;
 }
 
+namespace {
+
+bool owns_shards(const ownership::table& rows, const ownership::upstream_row& row) {
+    const auto index = static_cast<std::uint32_t>(&row - rows.upstreams.data());
+    const auto service = rows.services.find(row.service);
+    if (service == rows.services.end()) {
+        return false;
+    }
+    const auto owned = [index](const ownership::shard_row& it) { return it.owner == index; };
+    return std::any_of(service->second.shards.begin(), service->second.shards.end(), owned) ||
+           std::any_of(service->second.hot_keys.begin(), service->second.hot_keys.end(),
+                       [&](const auto& it) { return owned(it.second); });
+}
+
+/// While a lost incarnation still owns shards, the planner waits for the end of its grants, not of its
+/// successor's.
+bool bound_of_other_incarnation(const ownership::table& rows, const ownership::upstream_row& row) {
+    return std::any_of(rows.upstreams.begin(), rows.upstreams.end(), [&](const ownership::upstream_row& it) {
+        return &it != &row && it.name == row.name && it.condition == ownership::upstream_status::lost &&
+               owns_shards(rows, it);
+    });
+}
+
+} // namespace
+
 ownership::cluster_view data_center_tier::view_of(const ownership::table& rows, time_point now) const {
     ownership::cluster_view view;
     for (const auto& [name, it] : contacts_) {
@@ -134,6 +160,9 @@
         }
     }
     for (const auto& row : rows.upstreams) {
+        if (bound_of_other_incarnation(rows, row)) {
+            continue;
+        }
         view.grant_may_live_until[row.name] = grant_bound(row);
         const auto it = upstreams_.find(row.name);
         if (it != upstreams_.end() && it->second.incarnation == row.incarnation) {
@@ -167,10 +196,10 @@
             continue;
         }
         const auto health = it->second.health;
-        if (row.condition == ownership::upstream_status::joining && health == 1) {
-            it->second.joined_at = now;
-            propose(ownership::set_condition{row.name, row.incarnation, ownership::upstream_status::active});
-        } else if (row.condition != ownership::upstream_status::lost && health == 2) {
+        if (row.condition == ownership::upstream_status::joining) {
+            it->second.joined_at = now; // the ramp starts when the planner makes it active
+        }
+        if (row.condition != ownership::upstream_status::lost && health == 2) {
             spdlog::warn("upstream lost upstream={} gate={}", row.name, row.gate);
             propose(ownership::set_condition{row.name, row.incarnation, ownership::upstream_status::lost});
         }
--- a/src/app/instance/data_center_tier.h
+++ b/src/app/instance/data_center_tier.h
@@ -40,8 +40,9 @@
     time_point lease_until; ///< by this clock; the instance's own lease ends before
     bool stopping = false;
     std::int64_t table_version = 0;
-    ownership::epoch_number applied_epoch = 0;           ///< of the table that its gates act on
-    std::map<std::string, time_point> grants_live_until; ///< by upstream, as last reported
+    ownership::epoch_number applied_epoch = 0; ///< of the table that its gates act on
+    /// By name and incarnation of the upstream, as last reported.
+    std::map<std::pair<std::string, std::uint64_t>, time_point> grants_live_until;
 };
 struct upstream_contact {
     std::string reporting_gate;
--- a/src/app/instance/entry.h
+++ b/src/app/instance/entry.h
@@ -19,7 +19,7 @@
 class entry {
 public:
     /// Hands a request to the gate role of this instance; the reply comes back on the entry thread.
-    using local_gate = std::function<void(wire::ForwardRequest, gate_reply)>;
+    using local_gate = std::function<void(const wire::ForwardRequest&, gate_reply)>;
 
     entry(asio::io_context& context, const settings::instance_settings& settings, std::uint64_t incarnation,
           const view_holder& views, metrics::registry& registry, local_gate gate);
--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -149,7 +149,7 @@
     return nullptr;
 }
 
-void gate::submit(wire::ForwardRequest request, gate_reply reply) {
+void gate::submit(const wire::ForwardRequest& request, gate_reply reply) {
     auto* const target = find(request.upstream);
     if (target == nullptr) {
         reply(not_run(refusal::stale_route));
@@ -159,7 +159,7 @@
     queued->arrived = steady_now();
     queued->deadline = queued->arrived + duration(request.deadline_us);
     queued->digest = digest_of(request);
-    queued->wire = std::move(request);
+    queued->wire = request;
     queued->waiters.push_back(std::move(reply));
     target->submit(queued);
 }
--- a/src/app/instance/gate.h
+++ b/src/app/instance/gate.h
@@ -19,7 +19,7 @@
          const view_holder& views, metrics::registry& registry);
 
     /// Forwards a request from this instance's entry or from another instance.
-    void submit(wire::ForwardRequest request, gate_reply reply);
+    void submit(const wire::ForwardRequest& request, gate_reply reply);
     void on_view_changed();
     /// @param end until when this instance may act as a gate; set by the control thread
     void set_lease_end(time_point end) noexcept { lease_end_.store(end.time_since_epoch().count()); }
--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -43,7 +43,7 @@
     void run();
 
 private:
-    void submit_to_gate(wire::ForwardRequest request, gate_reply reply);
+    void submit_to_gate(const wire::ForwardRequest& request, gate_reply reply);
     void start_shutdown();
     void poll_shutdown();
     void finish_shutdown();
@@ -69,8 +69,8 @@
 instance::instance(const settings::instance_settings& settings) : settings_(settings) {
     gate_ = std::make_unique<gate>(gate_worker_.io, settings_, incarnation_, views_, registry_);
     entry_ = std::make_unique<entry>(entry_worker_.io, settings_, incarnation_, views_, registry_,
-                                     [this](wire::ForwardRequest request, gate_reply reply) {
-                                         submit_to_gate(std::move(request), std::move(reply));
+                                     [this](const wire::ForwardRequest& request, gate_reply reply) {
+                                         submit_to_gate(request, std::move(reply));
                                      });
     control_ = std::make_unique<control>(
         control_worker_.io, settings_, incarnation_, registry_,
@@ -87,14 +87,13 @@
     });
 }
 
-void instance::submit_to_gate(wire::ForwardRequest request, gate_reply reply) {
+void instance::submit_to_gate(const wire::ForwardRequest& request, gate_reply reply) {
     gate_reply on_entry_thread = [this, reply = std::move(reply)](const wire::ForwardResponse& response) {
         asio::post(entry_worker_.io, [reply, response] { reply(response); });
     };
-    asio::post(gate_worker_.io,
-               [this, request = std::move(request), reply = std::move(on_entry_thread)]() mutable {
-                   gate_->submit(std::move(request), std::move(reply));
-               });
+    asio::post(gate_worker_.io, [this, request, reply = std::move(on_entry_thread)]() mutable {
+        gate_->submit(request, std::move(reply));
+    });
 }
 
 void instance::run() {
