Let a data centre leader act only with a majority of the instances

Cause: support by half of the instances let two generations of a group of 4 be supported at once, by 2 instances each. A leader of a new generation now also waits two gate leases after its generation first had a majority, since the former leader counts a supporter for one lease after its last request and grants for one more. Ruled out: a promise of each reporting instance not to return to the former generation; a cut right after the report would keep it out of service until the global group answers. Not yet shown by a test on processes.

--- a/src/app/instance/data_center_leader.cpp
+++ b/src/app/instance/data_center_leader.cpp
@@ -52,10 +52,10 @@
 }
 
 bool data_center_tier::supported(time_point now) const {
-    // A new generation needs reports of a majority of the configured instances; together with this rule the
-    // two can never act at once, whatever part of the data centre is cut off.
+    // An instance supports one generation at a time. With a majority needed for each, two generations cannot
+    // both be supported, whatever part of the data centre is cut off.
     const std::size_t size = std::max<std::size_t>(shared_.settings.data_center_size, 1);
-    const std::size_t needed = size - size / 2;
+    const std::size_t needed = size / 2 + 1;
     const auto recent = std::count_if(contacts_.begin(), contacts_.end(), [now](const auto& it) {
         return now - it.second.last_request < gate_lease;
     });
@@ -113,6 +113,11 @@
     // Grants of the former leader's gates end within the gate lease that it may have renewed until it lost
     // its quorum.
     time_point bound = led_since_ + gate_lease + drift_margin;
+    if (generation_ > 1) {
+        // The leader of the former generation counts a supporter for one lease after its last request and may
+        // grant until then, so its gates can act for two leases after this generation first had a majority.
+        bound = std::max(bound, first_granted_ + 2 * gate_lease + 2 * drift_margin);
+    }
     for (const auto& [name, it] : contacts_) {
         const bool renews = row.gate == name && row.condition != ownership::upstream_status::lost;
         if (renews || it.applied_epoch < row.epoch) {
@@ -174,7 +179,7 @@
 }
 
 void data_center_tier::plan(time_point now) {
-    if (outstanding_ > 0 || !supported(now)) {
+    if (outstanding_ > 0 || !supported(now) || first_granted_ == time_point{}) {
         return;
     }
     const auto rows = machine_->current();
--- a/src/app/instance/data_center_tier.cpp
+++ b/src/app/instance/data_center_tier.cpp
@@ -55,6 +55,7 @@
         members.voters.push_back({it.name, static_cast<std::uint64_t>(it.incarnation)});
     }
     leader_.clear();
+    first_granted_ = {};
     was_leader_ = false;
     group_.reset();
     machine_ =
@@ -169,6 +170,9 @@
     }
     leader_ = from;
     last_granted_ = steady_now();
+    if (first_granted_ == time_point{}) {
+        first_granted_ = last_granted_;
+    }
     // The lease counts from the moment the request was sent, so it ends before the leader's record of it.
     lease_end_ = std::max(lease_end_, sent + duration(reply.lease_us));
     callbacks_.on_lease(lease_end_);
--- a/src/app/instance/data_center_tier.h
+++ b/src/app/instance/data_center_tier.h
@@ -122,6 +122,7 @@
     std::size_t next_candidate_ = 0;
     time_point lease_end_;
     time_point last_granted_;
+    time_point first_granted_; ///< in this generation, from any leader
     time_point next_lease_request_;
     time_point next_plan_;
     time_point led_since_;
