--- a/src/app/instance/data_center_leader.cpp
+++ b/src/app/instance/data_center_leader.cpp
@@ -91,6 +91,10 @@
     auto& gate = contacts_[request.gate.name];
     gate.applied_epoch = static_cast<ownership::epoch_number>(request.applied_epoch);
     gate.grants_live_until.clear();
+    gate.hot_keys.clear();
+    for (const auto& it : request.hot_keys) {
+        gate.hot_keys.push_back({it.service_name, it.key, it.requests_per_second});
+    }
     for (const auto& it : request.reports) {
         if (it.lease_left_us > 0) {
             gate.grants_live_until[{it.name, static_cast<std::uint64_t>(it.incarnation)}] =
@@ -162,6 +166,7 @@
     for (const auto& [name, it] : contacts_) {
         if (!it.stopping && now - it.last_request < instance_lost_after) {
             view.live_instances.insert(name);
+            view.hot_keys.insert(view.hot_keys.end(), it.hot_keys.begin(), it.hot_keys.end());
         }
     }
     for (const auto& row : rows.upstreams) {
--- a/src/app/instance/data_center_tier.cpp
+++ b/src/app/instance/data_center_tier.cpp
@@ -138,6 +138,13 @@
     request.reports = report_.upstreams;
     request.applied_epoch = static_cast<std::int64_t>(report_.applied_epoch);
     request.stopping = stopping_;
+    for (const auto& it : report_.hot_keys) {
+        wire::KeyLoad load;
+        load.service_name = it.service;
+        load.key = it.key;
+        load.requests_per_second = it.requests_per_second;
+        request.hot_keys.push_back(load);
+    }
     const auto target = lease_target();
     if (target == shared_.settings.name) {
         on_lease_reply(target, on_lease_request(request, now), now);
--- a/src/app/instance/data_center_tier.h
+++ b/src/app/instance/data_center_tier.h
@@ -4,6 +4,7 @@
 #include "app/instance/global_tier.h"
 #include "app/instance/replicated_group.h"
 
+#include <kingcupseam/hot_keys.h>
 #include <kingcupseam/ownership.h>
 
 #include <functional>
@@ -18,6 +19,7 @@
 struct gate_report {
     std::vector<wire::UpstreamReport> upstreams;
     ownership::epoch_number applied_epoch = 0; ///< of the routing table that the gates act on
+    std::vector<hot_keys::key_rate> hot_keys;
 };
 
 /// State machine of a data centre group.
@@ -43,6 +45,7 @@
     ownership::epoch_number applied_epoch = 0; ///< of the table that its gates act on
     /// By name and incarnation of the upstream, as last reported.
     std::map<std::pair<std::string, std::uint64_t>, time_point> grants_live_until;
+    std::vector<ownership::key_load> hot_keys;
 };
 struct upstream_contact {
     std::string reporting_gate;
--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -74,6 +74,7 @@
     }
     gate_report result;
     result.applied_epoch = applied_epoch_;
+    result.hot_keys = hot_keys_.hottest(now);
     for (const auto& [name, it] : upstreams_) {
         if (it->row().gate == settings_.name) {
             result.upstreams.push_back(it->report(now));
@@ -155,6 +156,7 @@
         reply(not_run(refusal::stale_route));
         return;
     }
+    hot_keys_.record(request.service_name, request.key, steady_now());
     auto queued = std::make_shared<gate_request>();
     queued->arrived = steady_now();
     queued->deadline = queued->arrived + duration(request.deadline_us);
--- a/src/app/instance/gate.h
+++ b/src/app/instance/gate.h
@@ -48,6 +48,7 @@
     peer_mesh mesh_;
     ledger_host ledger_;
     admission::suspect_list suspects_;
+    hot_keys::tracker hot_keys_{{}};
     gate_context shared_;
     std::map<std::string, std::unique_ptr<upstream_gate>> upstreams_;
     std::vector<std::unique_ptr<upstream_gate>> retiring_;
