Ask a leader that waits for support again, and give a new group time for its election

Cause: instances took 1 to 2 s to find the leader after the formation, since they went round the voters although their own member of the log knew the leader, and reported themselves without a group from the moment they joined. On a busy machine a second generation was formed 1.5 s after the first. Now the known leader is asked first, and the time without a lease counts from joining.

--- a/src/app/instance/data_center_tier.cpp
+++ b/src/app/instance/data_center_tier.cpp
@@ -56,6 +56,7 @@
     }
     leader_.clear();
     first_granted_ = {};
+    last_granted_ = steady_now(); // the new group gets time for its first election
     was_leader_ = false;
     group_.reset();
     machine_ =
@@ -106,6 +107,9 @@
 void data_center_tier::tick(time_point now) {
     if (group_) {
         group_->tick();
+        if (const auto known = group_->node().leader()) {
+            leader_ = known->name;
+        }
         lead(now);
     }
     if (generation_ > 0 && now >= next_lease_request_) {
@@ -172,7 +176,8 @@
         return;
     }
     if (!reply.granted) {
-        leader_ = reply.leader == from ? "" : reply.leader;
+        // A leader that names itself waits for the support of more instances, so it is asked again.
+        leader_ = reply.leader;
         return;
     }
     leader_ = from;
--- a/src/app/instance/operator_api.cpp
+++ b/src/app/instance/operator_api.cpp
@@ -64,6 +64,22 @@
     return "invalid";
 }
 
+json hot_keys_json(const ownership::table& rows) {
+    const auto name_of = [&](std::uint32_t index) {
+        return index < rows.upstreams.size() ? rows.upstreams[index].name : std::string();
+    };
+    json result = json::array();
+    for (const auto& [service, it] : rows.services) {
+        for (const auto& [key, row] : it.hot_keys) {
+            result.push_back({{"service", service},
+                              {"key", key},
+                              {"owner", name_of(row.owner)},
+                              {"next", name_of(row.next)}});
+        }
+    }
+    return result;
+}
+
 json table_json(const ownership::table& rows) {
     std::vector<std::uint32_t> owned(rows.upstreams.size());
     std::uint32_t without_owner = 0;
@@ -88,11 +104,9 @@
                              {"standby", it.standby},
                              {"epoch", it.epoch}});
     }
-    return {{"data_center", rows.data_center},
-            {"generation", rows.generation},
-            {"version", rows.version},
-            {"shards_without_owner", without_owner},
-            {"upstreams", std::move(upstreams)}};
+    return {{"data_center", rows.data_center}, {"generation", rows.generation},
+            {"version", rows.version},         {"shards_without_owner", without_owner},
+            {"hot_keys", hot_keys_json(rows)}, {"upstreams", std::move(upstreams)}};
 }
 
 json group_json(const replicated_group* group) {
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -54,10 +54,11 @@
     """Instances of three data centres and the upstreams of one firm."""
 
     def __init__(self, run_folder, binary, firm="navalsig", per_data_center=(4, 3, 3), services=None,
-                 routing="gate", service_time_ms=10, base_port=21000, stand_in_options=()):
+                 routing="gate", service_time_ms=10, base_port=21000, upstream_port=31000, stand_in_options=()):
         self.run_folder = run_folder
         self.binary = binary
         self.firm = firm
+        self.upstream_port = upstream_port
         self.routing = routing
         self.service_time_ms = service_time_ms
         self.services = services or FIRMS[firm]["services"]
@@ -114,7 +115,7 @@
 
     def start_upstreams(self):
         data_centers = list(dict.fromkeys(it.data_center for it in self.instances))
-        port = 31000
+        port = self.upstream_port
         for service, count, slots, connections in self.services:
             for n in range(count):
                 port += 1
