--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -117,10 +117,24 @@
             upstreams_.erase(it);
         }
     }
+    if (settings_.routing == settings::routing_mode::direct) {
+        refresh_direct_gates(*view);
+    }
     applied_epoch_ = ownership::make_epoch(rows->generation, rows->version);
     report(steady_now());
 }
 
+void gate::refresh_direct_gates(const routing_view& view) {
+    for (const auto& [data_center, rows] : view.tables) {
+        for (const auto& [name, it] : upstreams_) {
+            const auto* row = rows->find(name);
+            if (row != nullptr && row->gate != settings_.name) {
+                it->update(*rows, *row);
+            }
+        }
+    }
+}
+
 void gate::dial_ledger_replicas(const routing_view& view) {
     // Without open links the first request of a shard would find no majority of its ledger replicas.
     for (const auto& [name, it] : view.instances) {
--- a/src/app/instance/gate.h
+++ b/src/app/instance/gate.h
@@ -35,6 +35,8 @@
     void report(time_point now);
     void on_frame(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void on_forward(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
+    /// Keeps the rows of upstreams that this instance dispatches to without being their gate.
+    void refresh_direct_gates(const routing_view& view);
     void dial_ledger_replicas(const routing_view& view);
     void share(const std::vector<admission::suspect_list::suspect>& changed);
     upstream_gate* find(const std::string& upstream);
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -15,6 +15,7 @@
     parser.add_argument("--firm", choices=sorted(cluster.FIRMS), default="navalsig")
     parser.add_argument("--rate", type=int, default=900, help="requests per second")
     parser.add_argument("--seconds", type=int, default=20, help="duration of the load")
+    parser.add_argument("--base-port", type=int, default=21000, help="first port of the instances; upstreams use 10000 more")
     parser.add_argument("--keep", action="store_true", help="keep logs and records")
     return parser.parse_args()
 
@@ -61,7 +62,8 @@
     binary = os.path.join(cluster.ROOT, "build", "kingcupseam")
     with tempfile.TemporaryDirectory(prefix="kingcupseam-") as folder:
         run_folder = os.path.join(cluster.ROOT, "run", "demo") if options.keep else os.path.join(folder, "demo")
-        running = cluster.Cluster(run_folder, binary, options.firm)
+        running = cluster.Cluster(run_folder, binary, options.firm, base_port=options.base_port,
+                                  upstream_port=options.base_port + 10000)
         try:
             code = run(running, options)
         finally:
