--- /dev/null
+++ b/src/homes/keeper.cpp
@@ -0,0 +1,106 @@
+#include <kingcupseam/homes.h>
+
+#include <algorithm>
+
+namespace kingcupseam::homes {
+
+home_keeper::home_keeper(const keeper_options& options, std::uint64_t id, data_center_homes committed,
+                         std::optional<time_point> last_contact)
+    : options_(options), id_(id), committed_(std::move(committed)), contact_(last_contact) {}
+
+std::map<std::string, duration> home_keeper::holds() const {
+    std::map<std::string, duration> result;
+    for (const auto& [service, it] : committed_.services) {
+        result[service] = it.hold;
+    }
+    return result;
+}
+
+std::optional<contact_request> home_keeper::poll(const shard_sets& held, time_point now) {
+    if (next_request_ && now < *next_request_) {
+        return std::nullopt;
+    }
+    next_request_ = now + options_.contact_interval;
+    contact_request result{options_.data_center, id_, ++last_number_, committed_.version, holds(), {}};
+    for (const auto& [service, share] : committed_.services) {
+        const auto live = held.find(service);
+        confirm_release done{service, options_.data_center, {}};
+        for (const auto& [shard, begun] : share.releasing) {
+            if (live == held.end() || live->second.count(shard) == 0) {
+                done.begun[shard] = begun;
+            }
+        }
+        if (!done.begun.empty()) {
+            result.released.push_back(std::move(done));
+        }
+    }
+    open_[result.number] = {now, committed_.version, result.holds};
+    // Replies later than this many intervals add nothing to the contacts since.
+    constexpr std::size_t max_open = 64;
+    if (open_.size() > max_open) {
+        open_.erase(open_.begin());
+    }
+    return result;
+}
+
+std::optional<data_center_homes> home_keeper::on_reply(const contact_reply& reply) {
+    const auto found = open_.find(reply.number);
+    if (reply.keeper != id_ || found == open_.end()) {
+        return std::nullopt;
+    }
+    const auto request = found->second;
+    // A reply overtaken by a later one could bring back a longer hold, so older requests are forgotten.
+    open_.erase(open_.begin(), std::next(found));
+    if (!reply.assigned) {
+        if (request.version == committed_.version && request.holds == holds()) {
+            contact_ = std::max(contact_.value_or(request.sent), request.sent);
+        }
+        return std::nullopt;
+    }
+    if (reply.assigned->version < committed_.version) {
+        return std::nullopt;
+    }
+    if (*reply.assigned == committed_) {
+        contact_ = std::max(contact_.value_or(request.sent), request.sent);
+        return std::nullopt;
+    }
+    uncommitted_ = uncommitted{*reply.assigned, request.sent};
+    return reply.assigned;
+}
+
+void home_keeper::on_committed(const data_center_homes& committed) {
+    committed_ = committed;
+    if (uncommitted_ && uncommitted_->homes == committed) {
+        contact_ = std::max(contact_.value_or(uncommitted_->contact), uncommitted_->contact);
+        uncommitted_.reset();
+    }
+}
+
+time_point home_keeper::serve_until(const std::string& service) const {
+    const auto share = committed_.services.find(service);
+    if (!contact_ || share == committed_.services.end()) {
+        return time_point{};
+    }
+    return *contact_ + share->second.hold - drift_margin(share->second.hold);
+}
+
+bool home_keeper::may_serve(const std::string& service, std::uint32_t shard, time_point now) const {
+    const auto share = committed_.services.find(service);
+    return share != committed_.services.end() && share->second.shards.count(shard) != 0 &&
+           now < serve_until(service);
+}
+
+std::optional<duration> home_keeper::contact_age(time_point now) const {
+    if (!contact_) {
+        return std::nullopt;
+    }
+    return now - *contact_ + duration(1);
+}
+
+void contact_observer::on_age(time_point asked, duration age) {
+    // The age was measured by the leader's clock, and both clocks drift.
+    const auto contact = asked - age - 2 * drift_margin(age);
+    contact_ = std::max(contact_.value_or(contact), contact);
+}
+
+} // namespace kingcupseam::homes
--- /dev/null
+++ b/src/homes/spread.cpp
@@ -0,0 +1,131 @@
+#include <kingcupseam/homes.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace kingcupseam::homes {
+
+namespace {
+
+/// Shares of @p total in proportion to @p slots. What rounding leaves over goes to the largest remainders,
+/// and of equal ones to the data centre that has most shards, which saves moves.
+std::vector<std::int64_t> shares(std::int64_t total, const std::vector<std::uint32_t>& slots,
+                                 const std::vector<std::int64_t>& counts) {
+    const auto sum = std::accumulate(slots.begin(), slots.end(), std::int64_t{0});
+    std::vector<std::int64_t> result(slots.size());
+    std::vector<std::size_t> order(slots.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::int64_t left = total;
+    for (std::size_t n = 0; n < slots.size(); ++n) {
+        result[n] = total * slots[n] / sum;
+        left -= result[n];
+    }
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        const auto left_a = total * slots[a] % sum;
+        const auto left_b = total * slots[b] % sum;
+        return left_a != left_b ? left_a > left_b : counts[a] > counts[b];
+    });
+    for (std::size_t n = 0; left > 0; ++n, --left) {
+        ++result[order[n]];
+    }
+    return result;
+}
+
+/// Picks data centres in turn, each as often as its weight says.
+class interleaver {
+public:
+    explicit interleaver(std::vector<std::int64_t> weights)
+        : weights_(std::move(weights)), credit_(weights_.size()),
+          total_(std::accumulate(weights_.begin(), weights_.end(), std::int64_t{0})) {}
+    std::int16_t next() {
+        for (std::size_t n = 0; n < credit_.size(); ++n) {
+            credit_[n] += weights_[n];
+        }
+        std::size_t best = 0;
+        for (std::size_t n = 1; n < credit_.size(); ++n) {
+            if (weights_[n] > 0 && (weights_[best] == 0 || credit_[n] > credit_[best])) {
+                best = n;
+            }
+        }
+        credit_[best] -= total_;
+        return static_cast<std::int16_t>(best);
+    }
+
+private:
+    std::vector<std::int64_t> weights_;
+    std::vector<std::int64_t> credit_;
+    std::int64_t total_;
+};
+
+/// Shards to move: all without a home, and as many evenly spaced movable ones as a data centre has too many,
+/// at most @p room in all.
+std::vector<std::size_t> to_move(const std::vector<std::int16_t>& current, const std::vector<bool>& movable,
+                                 const std::vector<std::int64_t>& surplus, std::int64_t room) {
+    std::vector<std::int64_t> candidates(surplus.size());
+    std::vector<std::size_t> result;
+    for (std::size_t shard = 0; shard < current.size(); ++shard) {
+        if (current[shard] == no_home) {
+            result.push_back(shard);
+            --room;
+        } else if (movable[shard]) {
+            ++candidates[static_cast<std::size_t>(current[shard])];
+        }
+    }
+    std::vector<std::int64_t> progress(surplus.size());
+    for (std::size_t shard = 0; shard < current.size() && room > 0; ++shard) {
+        if (current[shard] == no_home || !movable[shard]) {
+            continue;
+        }
+        const auto from = static_cast<std::size_t>(current[shard]);
+        progress[from] += std::min(std::max<std::int64_t>(surplus[from], 0), candidates[from]);
+        if (progress[from] >= candidates[from]) {
+            progress[from] -= candidates[from];
+            result.push_back(shard);
+            --room;
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+} // namespace
+
+std::vector<std::int16_t> spread(const std::vector<std::int16_t>& current,
+                                 const std::vector<std::uint32_t>& slots, const std::vector<bool>& movable,
+                                 const std::vector<bool>& may_gain) {
+    std::vector<std::int64_t> counts(slots.size());
+    std::int64_t homeless = 0;
+    for (const auto home : current) {
+        home == no_home ? ++homeless : ++counts[static_cast<std::size_t>(home)];
+    }
+    bool any = false;
+    for (std::size_t n = 0; n < slots.size(); ++n) {
+        any = any || (slots[n] > 0 && may_gain[n]);
+    }
+    if (!any) {
+        return current;
+    }
+    const auto wanted = shares(static_cast<std::int64_t>(current.size()), slots, counts);
+    std::vector<std::int64_t> lacking(slots.size());
+    std::vector<std::int64_t> surplus(slots.size());
+    std::int64_t room = 0;
+    for (std::size_t n = 0; n < slots.size(); ++n) {
+        surplus[n] = counts[n] - wanted[n];
+        lacking[n] = may_gain[n] ? std::max<std::int64_t>(wanted[n] - counts[n], 0) : 0;
+        room += lacking[n];
+    }
+    if (homeless > room) {
+        // Another data centre that lacks shards may gain none now, so the others take more than their share.
+        for (std::size_t n = 0; n < slots.size(); ++n) {
+            lacking[n] = may_gain[n] ? lacking[n] + slots[n] : 0;
+        }
+    }
+    auto result = current;
+    interleaver targets(lacking);
+    for (const auto shard : to_move(current, movable, surplus, room)) {
+        result[shard] = targets.next();
+    }
+    return result;
+}
+
+} // namespace kingcupseam::homes
--- /dev/null
+++ b/src/homes/state.cpp
@@ -0,0 +1,126 @@
+#include <kingcupseam/homes.h>
+
+#include <algorithm>
+
+namespace kingcupseam::homes {
+
+namespace {
+
+bool valid(const set_homes& change) {
+    return std::all_of(change.homes.begin(), change.homes.end(), [&change](std::int16_t it) {
+        return it >= no_home && it < static_cast<std::int16_t>(change.data_centers.size());
+    });
+}
+
+bool contacted_since(const home_state& state, const set_homes& change) {
+    return std::any_of(change.contacts.begin(), change.contacts.end(), [&state](const auto& it) {
+        const auto found = state.promises.find(it.first);
+        return (found == state.promises.end() ? 0 : found->second.count) != it.second;
+    });
+}
+
+bool apply_change(home_state& state, const set_homes& change, std::uint64_t index) {
+    const auto found = state.services.find(change.service);
+    const auto version = found == state.services.end() ? 0 : found->second.version;
+    if (version != change.base_version || !valid(change) || contacted_since(state, change)) {
+        return false;
+    }
+    service_homes next{change.data_centers, change.homes, {}, change.basis, index};
+    if (found != state.services.end()) {
+        const auto& former = found->second;
+        // Indexes of pending releases stay valid only because a list of data centres is only ever extended.
+        if (former.homes.size() != next.homes.size() ||
+            former.data_centers.size() > next.data_centers.size() ||
+            !std::equal(former.data_centers.begin(), former.data_centers.end(), next.data_centers.begin())) {
+            return false;
+        }
+        for (const auto& [shard, release] : former.releases) {
+            if (former.homes[shard] == next.homes[shard]) {
+                next.releases[shard] = release;
+            }
+        }
+    }
+    state.services[change.service] = std::move(next);
+    return true;
+}
+
+std::int16_t index_of(service_homes& homes, const std::string& data_center) {
+    const auto found = std::find(homes.data_centers.begin(), homes.data_centers.end(), data_center);
+    const auto position = found - homes.data_centers.begin();
+    if (found == homes.data_centers.end()) {
+        homes.data_centers.push_back(data_center);
+    }
+    return static_cast<std::int16_t>(position);
+}
+
+bool apply_change(home_state& state, const begin_release& change, std::uint64_t index) {
+    const auto found = state.services.find(change.service);
+    if (found == state.services.end() || found->second.version != change.base_version) {
+        return false;
+    }
+    auto& homes = found->second;
+    for (const auto& [shard, data_center] : change.next) {
+        if (shard >= homes.homes.size() || homes.releases.count(shard) != 0) {
+            continue;
+        }
+        const auto next = index_of(homes, data_center);
+        if (homes.homes[shard] == no_home) {
+            homes.homes[shard] = next;
+        } else if (homes.homes[shard] != next) {
+            homes.releases[shard] = {next, index};
+        }
+    }
+    homes.basis = change.basis;
+    homes.version = index;
+    return true;
+}
+
+bool apply_change(home_state& state, const confirm_release& change, std::uint64_t index) {
+    const auto found = state.services.find(change.service);
+    if (found == state.services.end()) {
+        return false;
+    }
+    auto& homes = found->second;
+    bool changed = false;
+    for (const auto& [shard, begun] : change.begun) {
+        const auto release = homes.releases.find(shard);
+        if (release == homes.releases.end() || release->second.begun != begun ||
+            homes.data_centers.at(static_cast<std::size_t>(homes.homes[shard])) != change.data_center) {
+            continue;
+        }
+        homes.homes[shard] = release->second.next;
+        homes.releases.erase(release);
+        changed = true;
+    }
+    if (changed) {
+        homes.version = index;
+    }
+    return changed;
+}
+
+bool apply_change(home_state& state, const contact& change, std::uint64_t index) {
+    auto& it = state.promises[change.data_center];
+    ++it.count;
+    const bool longer = std::any_of(change.holds.begin(), change.holds.end(), [&it](const auto& hold) {
+        const auto former = it.holds.find(hold.first);
+        return former == it.holds.end() || hold.second > former->second;
+    });
+    if (longer) {
+        it.raised = index;
+    }
+    it.holds = change.holds;
+    return true;
+}
+
+} // namespace
+
+bool home_state::apply(const command& change, std::uint64_t index) {
+    const bool changed =
+        std::visit([this, index](const auto& it) { return apply_change(*this, it, index); }, change);
+    if (changed) {
+        version = index;
+    }
+    return changed;
+}
+
+} // namespace kingcupseam::homes
--- /dev/null
+++ b/tests/homes/scenario_test.cpp
@@ -0,0 +1,169 @@
+#include "homes/world.h"
+#include "support/scenario.h"
+
+#include <doctest/doctest.h>
+
+using namespace kingcupseam;
+using namespace kingcupseam::homes;
+using namespace kingcupseam::homes::test;
+
+namespace {
+
+constexpr std::uint64_t seeds_per_scenario = 8;
+
+/// Interprets the steps of tests/scenarios/homes_*.toml.
+class player {
+public:
+    player(const kingcupseam::test::scenario& script, std::uint64_t seed, faults broken)
+        : script_(script), world_(options_of(script, seed, broken)) {}
+
+    /// @param expect whether the expect_* steps are checked; a broken variant may miss them
+    const world& play(bool expect) {
+        for (const auto& it : script_.steps) {
+            CAPTURE(it.verb);
+            if (it.verb.rfind("expect_", 0) != 0) {
+                act(it);
+            } else if (expect) {
+                check(it);
+            }
+        }
+        return world_;
+    }
+
+private:
+    static world_options options_of(const kingcupseam::test::scenario& script, std::uint64_t seed,
+                                    faults broken) {
+        world_options options;
+        options.seed = seed;
+        options.loss = toml::find_or(script.setup, "loss", options.loss);
+        options.held_back = toml::find_or(script.setup, "held_back", options.held_back);
+        options.max_delay =
+            std::chrono::milliseconds(toml::find_or(script.setup, "max_delay_ms", std::int64_t{20}));
+        options.hold = std::chrono::seconds(toml::find_or(script.setup, "hold_s", std::int64_t{60}));
+        options.planning.respread_delay =
+            std::chrono::seconds(toml::find_or(script.setup, "respread_delay_s", std::int64_t{30}));
+        options.held_back_for =
+            std::chrono::milliseconds(toml::find_or(script.setup, "held_back_ms", std::int64_t{3000}));
+        options.broken = broken;
+        return options;
+    }
+
+    void act(const kingcupseam::test::scenario_step& it) {
+        const auto name = it.text("name");
+        if (it.verb == "data_centers") {
+            for (const auto& center : it.list("names")) {
+                world_.add_data_center(center, static_cast<std::uint32_t>(it.number("slots", 10)));
+            }
+        } else if (it.verb == "run") {
+            world_.run(std::chrono::milliseconds(it.number("ms")));
+        } else if (it.verb == "cut") {
+            for (const auto& other : it.list("from")) {
+                world_.cut(name, other);
+            }
+        } else if (it.verb == "mute") {
+            world_.mute(name);
+        } else if (it.verb == "heal") {
+            world_.heal();
+        } else if (it.verb == "lose") {
+            world_.lose(name);
+        } else if (it.verb == "bring_back") {
+            world_.bring_back(name);
+        } else if (it.verb == "slots") {
+            world_.set_slots(name, static_cast<std::uint32_t>(it.number("count")));
+        } else if (it.verb == "hold") {
+            world_.set_hold(std::chrono::seconds(it.number("s")));
+        } else if (it.verb == "change_leader") {
+            world_.change_leader(name);
+        } else if (it.verb == "change_global_leader") {
+            world_.change_global_leader();
+        } else if (it.verb == "network") {
+            world_.set_network(std::chrono::milliseconds(it.number("max_delay_ms", 20)),
+                               toml::find_or(it.arguments, "loss", 0.02),
+                               toml::find_or(it.arguments, "held_back", 0.02));
+        } else if (it.verb == "lose_confirmations") {
+            world_.lose_confirmations(it.text("until_heard", "no") == "no");
+        } else {
+            FAIL("unknown verb " << it.verb);
+        }
+    }
+
+    void check(const kingcupseam::test::scenario_step& it) {
+        const auto name = it.text("name");
+        const auto count = it.number("count");
+        CAPTURE(name);
+        if (it.verb == "expect_homes") {
+            CHECK(world_.homes_of(name) == count);
+        } else if (it.verb == "expect_served") {
+            CHECK(world_.served_by(name) == count);
+        } else if (it.verb == "expect_releasing") {
+            CHECK((world_.releasing() > 0) == (it.text("any", "yes") == "yes"));
+        } else if (it.verb == "expect_moves") {
+            CHECK(world_.moves() == static_cast<std::uint64_t>(count));
+        } else {
+            FAIL("unknown verb " << it.verb);
+        }
+    }
+
+    kingcupseam::test::scenario script_;
+    world world_;
+};
+
+kingcupseam::test::scenario load(const std::string& name) {
+    return kingcupseam::test::load_scenario(KINGCUPSEAM_SOURCE_DIR "/tests/scenarios/homes_" + name +
+                                            ".toml");
+}
+
+bool detects(const std::string& name, faults broken) {
+    const auto script = load(name);
+    for (std::uint64_t seed = script.seed; seed < script.seed + 4 * seeds_per_scenario; ++seed) {
+        player it(script, seed, broken);
+        if (!it.play(false).violations().empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("at most one data centre acts as the home of a shard") {
+    for (const auto& file : kingcupseam::test::scenarios_of("homes")) {
+        const auto script = kingcupseam::test::load_scenario(file);
+        CAPTURE(script.name);
+        CAPTURE(script.guards);
+        for (std::uint64_t seed = script.seed; seed < script.seed + seeds_per_scenario; ++seed) {
+            CAPTURE(seed);
+            player it(script, seed, {});
+            for (const auto& violation : it.play(true).violations()) {
+                FAIL_CHECK(violation);
+            }
+        }
+    }
+}
+
+TEST_CASE("the check finds deliberately broken variants") {
+    SUBCASE("a hold counted from the receipt of the reply") {
+        CHECK(detects("slow_replies", {.hold_from_receipt = true}));
+    }
+    SUBCASE("no margin for clock drift") {
+        CHECK(detects("cut_longer_than_long_hold", {.no_drift_margin = true}));
+    }
+    SUBCASE("homes kept after the hold") {
+        CHECK(detects("cut_longer_than_hold", {.serve_after_hold = true}));
+    }
+    SUBCASE("a new leader of a data centre that forgets the last contact") {
+        CHECK(detects("leader_changes_during_cut", {.forgetful_keeper = true}));
+    }
+    SUBCASE("a new global leader that takes the hold as run out") {
+        CHECK(detects("global_leader_changes_during_cut", {.forgetful_planner = true}));
+    }
+    SUBCASE("a release confirmed while grants may be live") {
+        CHECK(detects("joining_data_center", {.confirm_at_once = true}));
+    }
+    SUBCASE("a confirmation of an earlier release") {
+        CHECK(detects("back_and_forth", {.any_confirmation = true}));
+    }
+    SUBCASE("a new leader of a data centre that knows only old homes") {
+        CHECK(detects("leader_changes_after_release", {.old_homes_at_election = true}));
+    }
+}
--- /dev/null
+++ b/tests/homes/world.cpp
@@ -0,0 +1,395 @@
+#include "homes/world.h"
+
+#include <algorithm>
+
+namespace kingcupseam::homes::test {
+
+namespace {
+
+const std::string service = "s";
+constexpr duration tick = std::chrono::milliseconds(10);
+constexpr duration lease = std::chrono::milliseconds(600);
+constexpr duration leadership = std::chrono::milliseconds(300);
+constexpr duration election = std::chrono::milliseconds(400);
+constexpr duration ms(std::int64_t n) {
+    return std::chrono::milliseconds(n);
+}
+
+} // namespace
+
+time_point world::clock::at(time_point now) const {
+    const auto length = static_cast<double>(now.time_since_epoch().count());
+    return time_point(duration(static_cast<std::int64_t>(length * rate))) + offset;
+}
+
+time_point world::clock::back(time_point local) const {
+    const auto length = static_cast<double>((local - offset).time_since_epoch().count());
+    return time_point(duration(static_cast<std::int64_t>(length / rate)));
+}
+
+world::world(const world_options& options) : options_(options), random_(options.seed) {}
+
+duration world::random_duration(duration longest) {
+    return duration(std::uniform_int_distribution<std::int64_t>(0, longest.count())(random_));
+}
+
+// The ends of the allowed range find missing margins most surely.
+world::clock world::random_clock() {
+    const double drift = 1.0 / static_cast<double>(clock_drift_divisor);
+    return {1 + (chance(0.5) ? drift : -drift), random_duration(std::chrono::hours(10))};
+}
+
+void world::add_data_center(const std::string& name, std::uint32_t slots) {
+    auto& it = centers_[name];
+    it.name = name;
+    it.slots = slots;
+    it.global_voter = random_clock();
+    for (auto& member : it.voters) {
+        member.local = random_clock();
+    }
+    it.election_at = now_ + random_duration(ms(1000));
+}
+
+void world::lose(const std::string& name) {
+    auto& it = centers_.at(name);
+    it.alive = false;
+    it.keeper.reset();
+    it.election_at.reset();
+    it.grants.clear();
+    ++it.term;
+}
+
+void world::bring_back(const std::string& name) {
+    auto& it = centers_.at(name);
+    it.alive = true;
+    it.committed = {};
+    it.most_homes = {};
+    for (auto& member : it.voters) {
+        member.observer = {};
+    }
+    it.election_at = now_;
+}
+
+void world::change_leader(const std::string& data_center) {
+    auto& it = centers_.at(data_center);
+    it.keeper.reset();
+    ++it.term;
+    it.leader = (it.leader + 1) % it.voters.size();
+    it.election_at = now_ + election;
+}
+
+void world::change_global_leader() {
+    planner_.reset();
+    last_quorum_ = now_;
+}
+
+void world::set_network(duration max_delay, double loss, double held_back) {
+    options_.max_delay = max_delay;
+    options_.loss = loss;
+    options_.held_back = held_back;
+}
+
+bool world::linked(const std::string& a, const std::string& b) const {
+    const auto both = centers_.at(a).alive && centers_.at(b).alive;
+    return both && cuts_.count({std::min(a, b), std::max(a, b)}) == 0;
+}
+
+bool world::majority(const std::string& name) const {
+    const auto reached = std::count_if(centers_.begin(), centers_.end(),
+                                       [&](const auto& it) { return linked(name, it.first); });
+    return static_cast<std::size_t>(reached) > centers_.size() / 2;
+}
+
+void world::after(duration delay, std::function<void()> action) {
+    network_.emplace(now_ + delay, delivery{"", "", std::move(action)});
+}
+
+void world::send(const std::string& from, const std::string& to, std::function<void()> action) {
+    if (!linked(from, to) || (from != to && (muted_.count(from) != 0 || chance(options_.loss)))) {
+        return;
+    }
+    const auto longest = chance(options_.held_back) ? std::max(options_.held_back_for, options_.max_delay)
+                                                    : options_.max_delay;
+    network_.emplace(now_ + random_duration(longest), delivery{from, to, std::move(action)});
+}
+
+planner_view world::view() const {
+    service_view wanted{options_.shards, options_.hold, mirrored_slots_};
+    const auto& local = centers_.at(global_leader_).global_voter;
+    return {state_, {{service, wanted}}, local.at(last_quorum_ + leadership)};
+}
+
+void world::run(duration length) {
+    for (const auto end = now_ + length; now_ < end;) {
+        step();
+    }
+}
+
+void world::step() {
+    now_ += tick;
+    while (!network_.empty() && network_.begin()->first <= now_) {
+        const auto it = std::move(network_.begin()->second);
+        network_.erase(network_.begin());
+        if (it.to.empty() || linked(it.from, it.to)) {
+            it.action();
+        }
+    }
+    step_global();
+    for (auto& [name, it] : centers_) {
+        step_center(it);
+    }
+    check();
+}
+
+void world::step_global() {
+    if (planner_ && majority(global_leader_)) {
+        last_quorum_ = now_;
+    }
+    if (now_ - last_quorum_ > election) {
+        planner_.reset();
+        elect_global();
+    }
+    if (!planner_ || now_ < next_plan_) {
+        return;
+    }
+    next_plan_ = now_ + ms(500);
+    for (const auto& [name, it] : centers_) {
+        if (linked(global_leader_, name)) {
+            mirrored_slots_[name] = it.slots;
+        }
+    }
+    auto local = centers_.at(global_leader_).global_voter.at(now_);
+    if (options_.broken.no_drift_margin) {
+        local += drift_margin(options_.hold);
+    }
+    for (const auto& change : planner_->plan(view(), local)) {
+        propose(change);
+    }
+}
+
+void world::elect_global() {
+    std::vector<std::string> candidates;
+    for (const auto& [name, it] : centers_) {
+        if (majority(name)) {
+            candidates.push_back(name);
+        }
+    }
+    if (candidates.empty()) {
+        return;
+    }
+    global_leader_ =
+        candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random_)];
+    ++global_term_;
+    last_quorum_ = now_;
+    auto elected = centers_.at(global_leader_).global_voter.at(now_);
+    if (options_.broken.forgetful_planner) {
+        elected -= options_.hold * 2;
+    }
+    planner_ = std::make_unique<home_planner>(options_.planning, elected);
+}
+
+void world::propose(const command& change) {
+    // Commands of one leader are committed in order; a leader that loses its majority commits nothing.
+    after(ms(20), [this, change, term = global_term_] {
+        if (term == global_term_ && planner_ && majority(global_leader_)) {
+            apply(change);
+        }
+    });
+}
+
+void world::apply(const command& change) {
+    const auto before = state_;
+    state_.apply(change, ++index_);
+    const auto old = before.services.find(service);
+    if (old != before.services.end()) {
+        const auto& next = state_.services.at(service);
+        for (std::size_t n = 0; n < next.homes.size(); ++n) {
+            moves_ += next.homes[n] == old->second.homes[n] ? 0 : 1;
+        }
+    }
+}
+
+void world::start_keeper(center& it) {
+    it.election_at.reset();
+    ++it.term;
+    auto contact = it.voters[it.leader].observer.last_contact();
+    if (options_.broken.forgetful_keeper) {
+        contact = it.voters[it.leader].local.at(now_);
+    }
+    if (options_.broken.old_homes_at_election) {
+        it.committed = it.most_homes;
+    }
+    it.receipt_error = {};
+    it.sent.clear();
+    it.keeper = std::make_unique<home_keeper>(keeper_options{it.name}, it.term, it.committed, contact);
+}
+
+void world::step_center(center& it) {
+    if (!it.alive) {
+        return;
+    }
+    if (it.election_at && now_ >= *it.election_at) {
+        start_keeper(it);
+    }
+    if (!it.keeper) {
+        return;
+    }
+    contact_leader(it);
+    grant(it);
+    if (now_ < it.next_question) {
+        return;
+    }
+    it.next_question = now_ + ms(150);
+    for (auto& member : it.voters) {
+        // The answer takes a while each way.
+        const auto asked = member.local.at(now_ - random_duration(options_.max_delay));
+        const auto age = it.keeper->contact_age(it.voters[it.leader].local.at(now_));
+        if (age && !chance(options_.loss)) {
+            member.observer.on_age(asked, *age);
+        }
+    }
+}
+
+shard_sets world::held(const center& it) const {
+    shard_sets result;
+    const auto share = it.committed.services.find(service);
+    if (share != it.committed.services.end()) {
+        result[service] = share->second.shards;
+    }
+    for (const auto& [shard, end] : it.grants) {
+        if (end > now_) {
+            result[service].insert(shard);
+        }
+    }
+    return result;
+}
+
+void world::contact_leader(center& it) {
+    const auto local = it.voters[it.leader].local.at(now_);
+    const auto request = it.keeper->poll(options_.broken.confirm_at_once ? shard_sets{} : held(it), local);
+    if (!request) {
+        return;
+    }
+    it.sent[request->number] = now_;
+    if (planner_ && !(lose_confirmations_ && !request->released.empty())) {
+        send(it.name, global_leader_, [this, request = *request] { receive_request(request); });
+    }
+}
+
+void world::receive_request(contact_request request) {
+    if (!planner_) {
+        return;
+    }
+    if (options_.broken.any_confirmation && state_.services.count(service) != 0) {
+        for (auto& done : request.released) {
+            for (auto& [shard, begun] : done.begun) {
+                const auto& releases = state_.services.at(service).releases;
+                const auto found = releases.find(shard);
+                begun = found == releases.end() ? begun : found->second.begun;
+            }
+        }
+    }
+    const auto local = centers_.at(global_leader_).global_voter.at(now_);
+    const auto result = planner_->on_contact(request, view(), local);
+    for (const auto& change : result.commands) {
+        propose(change);
+    }
+    if (result.reply) {
+        send(global_leader_, request.data_center,
+             [this, name = request.data_center, reply = *result.reply] { receive_reply(name, reply); });
+    }
+}
+
+void world::receive_reply(const std::string& name, const contact_reply& reply) {
+    auto& it = centers_.at(name);
+    if (!it.keeper) {
+        return;
+    }
+    const auto before = it.keeper->last_contact();
+    const auto homes = it.keeper->on_reply(reply);
+    if (options_.broken.hold_from_receipt && it.keeper->last_contact() != before) {
+        it.receipt_error = now_ - it.sent[reply.number];
+    }
+    if (!homes) {
+        return;
+    }
+    after(random_duration(ms(20)), [this, &it, homes = *homes, term = it.term] {
+        // Half of the entries of a former leader are lost.
+        if (!it.alive || homes.version < it.committed.version || (term != it.term && chance(0.5))) {
+            return;
+        }
+        const auto shards = [](const data_center_homes& record) {
+            const auto share = record.services.find(service);
+            return share == record.services.end() ? 0 : share->second.shards.size();
+        };
+        if (shards(homes) >= shards(it.most_homes)) {
+            it.most_homes = homes;
+        }
+        it.committed = homes;
+        if (it.keeper) {
+            it.keeper->on_committed(homes);
+        }
+    });
+}
+
+void world::grant(center& it) {
+    const auto& local = it.voters[it.leader].local;
+    auto limit = it.keeper->serve_until(service);
+    if (limit == time_point{}) {
+        return;
+    }
+    limit += options_.broken.hold_from_receipt ? it.receipt_error : duration::zero();
+    limit += options_.broken.no_drift_margin ? drift_margin(options_.hold) : duration::zero();
+    limit = options_.broken.serve_after_hold ? local.at(now_ + lease) : limit;
+    const auto end = std::min(local.back(limit), now_ + lease);
+    const auto share = it.keeper->homes().services.find(service);
+    if (end <= now_ || share == it.keeper->homes().services.end()) {
+        return;
+    }
+    for (const auto shard : share->second.shards) {
+        auto& until = it.grants[shard];
+        until = std::max(until, end);
+    }
+}
+
+void world::check() {
+    for (std::uint32_t shard = 0; shard < options_.shards; ++shard) {
+        std::string holders;
+        int count = 0;
+        for (const auto& [name, it] : centers_) {
+            const auto found = it.grants.find(shard);
+            if (found != it.grants.end() && found->second > now_) {
+                holders += " " + name;
+                ++count;
+            }
+        }
+        if (count > 1 && violations_.size() < 10) {
+            violations_.push_back("shard " + std::to_string(shard) + " is served by" + holders + " at " +
+                                  std::to_string(now_.time_since_epoch().count() / 1000) + " ms");
+        }
+    }
+}
+
+std::uint32_t world::homes_of(const std::string& name) const {
+    const auto found = state_.services.find(service);
+    if (found == state_.services.end()) {
+        return 0;
+    }
+    const auto& homes = found->second;
+    return static_cast<std::uint32_t>(std::count_if(homes.homes.begin(), homes.homes.end(), [&](auto it) {
+        return it != no_home && homes.data_centers[static_cast<std::size_t>(it)] == name;
+    }));
+}
+
+std::uint32_t world::served_by(const std::string& name) const {
+    const auto& grants = centers_.at(name).grants;
+    return static_cast<std::uint32_t>(
+        std::count_if(grants.begin(), grants.end(), [this](const auto& it) { return it.second > now_; }));
+}
+
+std::uint32_t world::releasing() const {
+    const auto found = state_.services.find(service);
+    return found == state_.services.end() ? 0 : static_cast<std::uint32_t>(found->second.releases.size());
+}
+
+} // namespace kingcupseam::homes::test
--- /dev/null
+++ b/tests/homes/world.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <kingcupseam/homes.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace kingcupseam::homes::test {
+
+/// Deliberate faults. Each must be found by the check of the world; the code under test has no such switches.
+struct faults {
+    bool hold_from_receipt = false;     ///< the data centre counts the hold from the receipt of the reply
+    bool no_drift_margin = false;       ///< neither side keeps a margin
+    bool forgetful_keeper = false;      ///< a new leader of a data centre takes its election as a contact
+    bool forgetful_planner = false;     ///< a new global leader takes every hold as run out
+    bool confirm_at_once = false;       ///< a release is confirmed while grants may be live
+    bool any_confirmation = false;      ///< a confirmation of an earlier release counts for the present one
+    bool serve_after_hold = false;      ///< the data centre keeps its homes without contact
+    bool old_homes_at_election = false; ///< a new leader of a data centre does not know its last homes
+};
+
+struct world_options {
+    std::uint64_t seed = 1;
+    std::uint32_t shards = 12;
+    duration hold = std::chrono::seconds(60);
+    duration max_delay = std::chrono::milliseconds(20);
+    double loss = 0.02;
+    double held_back = 0.02; ///< share of the messages that take up to held_back_for
+    duration held_back_for = std::chrono::seconds(3);
+    planner_options planning;
+    faults broken;
+};
+
+/// Data centres with three voters each and a global group with one voter per data centre; real state machine,
+/// planners, keepers and observers; virtual time, clocks that drift up to the allowed rate, and a network
+/// that delays, reorders and loses messages. After every step of 10 ms at most one data centre may have a
+/// live grant of a shard.
+class world {
+public:
+    explicit world(const world_options& options);
+
+    void add_data_center(const std::string& name, std::uint32_t slots);
+    void set_slots(const std::string& name, std::uint32_t slots) { centers_.at(name).slots = slots; }
+    void set_hold(duration hold) { options_.hold = hold; }
+    void cut(const std::string& a, const std::string& b) { cuts_.insert({std::min(a, b), std::max(a, b)}); }
+    /// Loses what the data centre sends from now on; it still receives.
+    void mute(const std::string& name) { muted_.insert(name); }
+    void heal() {
+        cuts_.clear();
+        muted_.clear();
+    }
+    void lose(const std::string& name);
+    /// All instances are new: a new generation of the group with an empty log.
+    void bring_back(const std::string& name);
+    void change_leader(const std::string& data_center);
+    void change_global_leader();
+    void set_network(duration max_delay, double loss, double held_back);
+    /// Loses confirmations of releases while set.
+    void lose_confirmations(bool lost) { lose_confirmations_ = lost; }
+    void run(duration length);
+
+    std::uint32_t homes_of(const std::string& name) const;
+    std::uint32_t served_by(const std::string& name) const;
+    std::uint32_t releasing() const;
+    std::uint64_t moves() const { return moves_; }
+    const std::vector<std::string>& violations() const { return violations_; }
+
+private:
+    struct clock {
+        double rate = 1;
+        duration offset{};
+        time_point at(time_point now) const;
+        time_point back(time_point local) const;
+    };
+    struct voter {
+        clock local;
+        contact_observer observer;
+    };
+    struct center {
+        std::string name;
+        bool alive = true;
+        std::uint32_t slots = 0;
+        clock global_voter;
+        std::array<voter, 3> voters;
+        std::size_t leader = 0;
+        std::uint64_t term = 0;
+        std::optional<time_point> election_at;
+        std::unique_ptr<home_keeper> keeper;
+        data_center_homes committed;
+        data_center_homes most_homes; ///< the record with most shards so far
+        duration receipt_error{};
+        std::map<std::uint64_t, time_point> sent;
+        std::map<std::uint32_t, time_point> grants; ///< end in true time, by shard
+        time_point next_question{};
+    };
+    struct delivery {
+        std::string from;
+        std::string to;
+        std::function<void()> action;
+    };
+
+    duration random_duration(duration longest);
+    bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
+    clock random_clock();
+    bool linked(const std::string& a, const std::string& b) const;
+    bool majority(const std::string& name) const;
+    void send(const std::string& from, const std::string& to, std::function<void()> action);
+    void after(duration delay, std::function<void()> action);
+    planner_view view() const;
+    void step();
+    void step_global();
+    void elect_global();
+    void propose(const command& change);
+    void apply(const command& change);
+    void step_center(center& it);
+    void start_keeper(center& it);
+    void contact_leader(center& it);
+    void receive_request(contact_request request);
+    void receive_reply(const std::string& name, const contact_reply& reply);
+    void grant(center& it);
+    shard_sets held(const center& it) const;
+    void check();
+
+    world_options options_;
+    std::mt19937_64 random_;
+    time_point now_{std::chrono::hours(1)};
+    std::map<std::string, center> centers_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::set<std::string> muted_;
+    std::multimap<time_point, delivery> network_;
+    bool lose_confirmations_ = false;
+
+    home_state state_;
+    std::uint64_t index_ = 0;
+    std::uint64_t global_term_ = 0;
+    std::string global_leader_;
+    time_point last_quorum_{};
+    time_point next_plan_{};
+    std::unique_ptr<home_planner> planner_;
+    std::map<std::string, std::uint32_t> mirrored_slots_;
+
+    std::uint64_t moves_ = 0;
+    std::vector<std::string> violations_;
+};
+
+} // namespace kingcupseam::homes::test
