--- a/tests/homes/world.cpp
+++ b/tests/homes/world.cpp
@@ -278,10 +278,11 @@
     }
 }
 
-void world::receive_request(contact_request request) {
+void world::receive_request(const contact_request& sent) {
     if (!planner_) {
         return;
     }
+    auto request = sent;
     if (options_.broken.any_confirmation && state_.services.count(service) != 0) {
         for (auto& done : request.released) {
             for (auto& [shard, begun] : done.begun) {
--- a/tests/homes/world.h
+++ b/tests/homes/world.h
@@ -117,7 +117,7 @@
     void step_center(center& it);
     void start_keeper(center& it);
     void contact_leader(center& it);
-    void receive_request(contact_request request);
+    void receive_request(const contact_request& sent);
     void receive_reply(const std::string& name, const contact_reply& reply);
     void grant(center& it);
     shard_sets held(const center& it) const;
