--- a/tests/homes/keeper_test.cpp
+++ b/tests/homes/keeper_test.cpp
@@ -55,6 +55,11 @@
         CHECK_FALSE(keeper.on_reply({7, first->number, record(6, {2}, {}, s(600))}));
         CHECK(keeper.serve_until(service) == start + s(6) - drift_margin(s(5)));
     }
+    SUBCASE("homes older than the committed ones are refused") {
+        keeper.on_committed(record(6, {2}));
+        CHECK_FALSE(keeper.on_reply({7, first->number, record(5, {1})}));
+        CHECK_FALSE(keeper.last_contact());
+    }
     SUBCASE("a reply without homes counts only for the homes that the request stated") {
         const auto second = keeper.poll({}, start + s(1));
         keeper.on_committed(record(6, {2}));
