--- a/include/kingcupseam/profile.h
+++ b/include/kingcupseam/profile.h
@@ -55,7 +55,7 @@
     retry_settings retries;
     duration ledger_retention = std::chrono::minutes(10);
     /// benchmark/homes_hold.cpp: serves most at the expected rates, and brief cuts still move nothing.
-    duration home_hold = std::chrono::minutes(1);
+    duration home_hold = std::chrono::hours(2);
     bool operator==(const profile&) const = default;
 };
 
--- a/tests/app/profile_command_test.cpp
+++ b/tests/app/profile_command_test.cpp
@@ -217,11 +217,11 @@
     SUBCASE("diff is silent for equal content, and shows changed lines with exit code 1") {
         CHECK(with_place({"diff", file}).code == app::exit_success);
         std::string edited = content;
-        edited.replace(edited.find("home_hold_s = 60"), 16, "home_hold_s = 3600");
+        edited.replace(edited.find("home_hold_s = 7200"), 18, "home_hold_s = 3600");
         const auto it = with_place({"diff", folder.write("edited.toml", edited)});
         CHECK(it.code == app::exit_failure);
         CHECK(it.out.rfind("--- navalsig version 4\n", 0) == 0);
-        CHECK(it.out.find("@@ -4 +4 @@\n-home_hold_s = 60\n+home_hold_s = 3600\n") != std::string::npos);
+        CHECK(it.out.find("@@ -4 +4 @@\n-home_hold_s = 7200\n+home_hold_s = 3600\n") != std::string::npos);
     }
 }
 
--- a/tests/profile/parse_test.cpp
+++ b/tests/profile/parse_test.cpp
@@ -43,7 +43,7 @@
         CHECK(it.services[0].shards == 4096);
         CHECK(it.services[0].rules[0].deadline == std::chrono::seconds(1));
         CHECK(it.ledger_retention == std::chrono::minutes(10));
-        CHECK(it.home_hold == std::chrono::minutes(1));
+        CHECK(it.home_hold == std::chrono::hours(2));
         CHECK(it.retries.budget_fraction == 0.1);
     }
     SUBCASE("the shipped profiles are valid and keep at-most-once work apart from lookups") {
