--- a/include/kingcupseam/profile.h
+++ b/include/kingcupseam/profile.h
@@ -54,7 +54,7 @@
     std::array<rank_settings, rank_count> ranks{};
     retry_settings retries;
     duration ledger_retention = std::chrono::minutes(10);
-    /// benchmark/homes_hold.cpp: serves most at the expected rates, and brief cuts still move nothing.
+    /// Longer than the cuts that are expected, so that a data centre that is cut off goes on serving.
     duration home_hold = std::chrono::hours(2);
     bool operator==(const profile&) const = default;
 };
