Follow the planner's contract for a former incarnation in the scenarios

Cause: the world of the ownership scenarios gave the planner one bound by name, so the grants of a new incarnation, which go on, hid the end of the former one's grants.

Change: as the leader in src/app/instance does, the world omits the bound of an incarnation while a lost one of the same name still owns shards or hot keys.

Ruled out: a fault of the planner; the trace shows it waiting for the bound of the other incarnation.

--- a/tests/ownership/world.h
+++ b/tests/ownership/world.h
@@ -132,6 +132,7 @@
     void step_leader();
     cluster_view view() const;
     time_point bound_of(const upstream_row& row) const;
+    bool former_incarnation_owns(const upstream_row& row) const;
     void step_gate(const std::string& name, gate& it);
     void request_lease(const std::string& name, gate& it);
     void take_report(const std::string& name, std::uint64_t table_version,
--- a/tests/ownership/world_processes.cpp
+++ b/tests/ownership/world_processes.cpp
@@ -31,6 +31,24 @@
     return bound;
 }
 
+// The planner asks by name. While a lost incarnation still owns shards, it waits for the end of that one's
+// grants; those of the next incarnation go on and would never let it finish.
+bool world::former_incarnation_owns(const upstream_row& row) const {
+    if (row.condition == upstream_status::lost) {
+        return false;
+    }
+    const auto& all = rows().upstreams;
+    const auto owns = [&](std::uint32_t index) {
+        return index < all.size() && all[index].name == row.name &&
+               all[index].condition == upstream_status::lost;
+    };
+    const auto& service = rows().services.at(service_name);
+    return std::any_of(service.shards.begin(), service.shards.end(),
+                       [&](const shard_row& it) { return owns(it.owner); }) ||
+           std::any_of(service.hot_keys.begin(), service.hot_keys.end(),
+                       [&](const auto& it) { return owns(it.second.owner); });
+}
+
 cluster_view world::view() const {
     cluster_view result;
     const auto now = local(leader_clock_);
@@ -46,6 +64,9 @@
     }
     result.acknowledged_version = leader_.acknowledged;
     for (const auto& it : rows().upstreams) {
+        if (former_incarnation_owns(it)) {
+            continue;
+        }
         auto& bound = result.grant_may_live_until.emplace(it.name, time_point::min()).first->second;
         bound = std::max(bound, bound_of(it));
     }
