Store profiles and memberships as Thrift compact structs

Cause: profile and consensus had binary encodings written by hand, although Thrift is the project's codec and already carries every message.

Change: idl/profile.thrift and idl/consensus.thrift replace them. The new header-only library wire holds to_bytes, from_bytes (used by transport too) and parse_exact, which turn every Thrift exception into a typed error. Strings and lists are limited by the length of the payload, which is tighter than the million elements that transport allowed before. parse_exact refuses anything but the exact encoding, so members never disagree on a replicated value; it takes the place of the version byte. src/encoding is removed; its UTF-8 functions, which are no codec, move to types with their tests. Stored profiles and memberships of earlier builds are not readable.

Ruled out: keeping the checks in transport, which depends on asio.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -3,8 +3,15 @@
 kingcupseam_library(error)
 kingcupseam_library(types error)
 target_link_libraries(kingcupseam_types PUBLIC xxhash)
-kingcupseam_library(encoding error)
-kingcupseam_library(config types encoding)
+# The Thrift code keeps the names of the IDL, so it is built without the project's warnings.
+file(GLOB generated_sources CONFIGURE_DEPENDS src/generated/*_types.cpp)
+add_library(kingcupseam_generated STATIC ${generated_sources})
+target_include_directories(kingcupseam_generated SYSTEM PUBLIC src/generated)
+target_link_libraries(kingcupseam_generated PUBLIC PkgConfig::THRIFT)
+# Header only: encoding and decoding of the generated structs.
+add_library(kingcupseam_wire INTERFACE)
+target_link_libraries(kingcupseam_wire INTERFACE kingcupseam_options kingcupseam_error kingcupseam_generated)
+kingcupseam_library(config types)
 kingcupseam_library(metrics types)
 kingcupseam_library(statechart config)
 # The charts are part of the binary, so an instance cannot run with charts of another version.
@@ -15,23 +22,15 @@
           -P ${PROJECT_SOURCE_DIR}/cmake/embed_charts.cmake
   DEPENDS ${chart_files} cmake/embed_charts.cmake)
 target_sources(kingcupseam_statechart PRIVATE ${PROJECT_BINARY_DIR}/embedded_charts.cpp)
-kingcupseam_library(profile config)
+kingcupseam_library(profile config wire)
 kingcupseam_library(settings config)
 kingcupseam_library(storage types)
-kingcupseam_library(consensus storage)
+kingcupseam_library(consensus storage wire)
 kingcupseam_library(membership types)
-kingcupseam_library(ownership types statechart)
+kingcupseam_library(ownership types statechart wire)
 kingcupseam_library(ledger types)
 kingcupseam_library(admission types)
-kingcupseam_library(transport types consensus)
-
-# The Thrift code keeps the names of the IDL, so it is built without the project's warnings.
-if(TARGET kingcupseam_transport)
-  add_library(kingcupseam_generated STATIC src/generated/peer_types.cpp src/generated/state_types.cpp)
-  target_include_directories(kingcupseam_generated SYSTEM PUBLIC src/generated)
-  target_link_libraries(kingcupseam_generated PUBLIC PkgConfig::THRIFT)
-  target_link_libraries(kingcupseam_transport PUBLIC kingcupseam_generated)
-endif()
+kingcupseam_library(transport types consensus wire)
 
 kingcupseam_library(app types metrics statechart profile settings consensus membership ownership ledger admission transport)
 if(TARGET kingcupseam_app)
--- /dev/null
+++ b/idl/consensus.thrift
@@ -0,0 +1,12 @@
+// Membership of a replicated group, as entries of its log and its snapshots store it.
+namespace cpp kingcupseam.wire
+
+struct GroupMember {
+  1: string name
+  2: i64 incarnation
+}
+
+struct GroupMembership {
+  1: list<GroupMember> voters
+  2: list<GroupMember> learners
+}
--- a/include/kingcupseam/consensus.h
+++ b/include/kingcupseam/consensus.h
@@ -25,7 +25,7 @@
     auto operator<=>(const membership&) const = default;
 };
 
-/// Length-prefixed names and incarnations: the voters, then the learners.
+/// Thrift compact form (idl/consensus.thrift).
 std::string encode(const membership& members);
 /// @throws invalid_input
 membership decode_membership(const std::string& bytes);
--- a/include/kingcupseam/types.h
+++ b/include/kingcupseam/types.h
@@ -88,4 +88,9 @@
 /// @throws invalid_input naming @p source and @p field
 endpoint_address parse_endpoint(const std::string& source, const std::string& field, std::string_view text);
 
+/// Length of the UTF-8 character at the start of @p text; 0 when it is malformed or the text is empty.
+std::size_t utf8_length(std::string_view text) noexcept;
+/// True for UTF-8 without control characters: fit for a header, a JSON text and a log line.
+bool is_plain_text(std::string_view text) noexcept;
+
 } // namespace kingcupseam
--- /dev/null
+++ b/include/kingcupseam/wire.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <kingcupseam/error.h>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace kingcupseam::wire {
+
+/// Bytes that are not the compact form of the expected struct.
+class malformed_payload : public error {
+public:
+    using error::error;
+};
+
+/// Compact form of a struct that Thrift generated.
+template <class T>
+std::string to_bytes(const T& value) {
+    const auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(buffer);
+    value.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+/// Reads the compact form. Unknown fields and bytes after the end are skipped.
+/// @throws malformed_payload
+template <class T>
+T from_bytes(std::string_view payload) {
+    using apache::thrift::transport::TMemoryBuffer;
+    // Strings and list elements take at least one byte each. Without the limit a few bytes could make the
+    // decoder reserve gigabytes.
+    const auto limit = static_cast<std::int32_t>(
+        std::clamp<std::size_t>(payload.size(), 1, std::numeric_limits<std::int32_t>::max()));
+    // TMemoryBuffer takes a mutable pointer but only reads from it in OBSERVE mode.
+    auto* const bytes = const_cast<std::uint8_t*>( // NOLINT(cppcoreguidelines-pro-type-const-cast)
+        reinterpret_cast<const std::uint8_t*>(payload.data()));
+    const auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(payload.size()),
+                                                        TMemoryBuffer::OBSERVE);
+    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer, limit, limit);
+    T value;
+    try {
+        value.read(&protocol);
+    } catch (const apache::thrift::TException& e) {
+        throw malformed_payload(std::string("payload: ") + e.what());
+    } catch (const std::bad_alloc&) {
+        throw malformed_payload("payload: element count exceeds the payload");
+    }
+    return value;
+}
+
+/// Reads a stored or replicated value. Members must agree on it byte for byte, so anything but the exact form
+/// that to_bytes() writes is refused: unknown fields, other orders of fields and bytes after the end.
+/// @param source name of the value, for errors
+/// @throws invalid_input
+template <class T>
+T parse_exact(const std::string& source, std::string_view bytes) {
+    try {
+        T value = from_bytes<T>(bytes);
+        if (to_bytes(value) == bytes) {
+            return value;
+        }
+    } catch (const malformed_payload& e) {
+        throw invalid_input(source, "bytes", e.what());
+    }
+    throw invalid_input(source, "bytes", "are not the exact encoding of their value");
+}
+
+} // namespace kingcupseam::wire
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,6 +1,6 @@
 #include <kingcupseam/config.h>
-#include <kingcupseam/encoding.h>
 #include <kingcupseam/error.h>
+#include <kingcupseam/types.h>
 
 #include <toml.hpp>
 
@@ -37,7 +37,7 @@
 void check_characters(const std::string& source, std::string_view text) {
     std::size_t line = 1;
     while (!text.empty()) {
-        const std::size_t n = encoding::utf8_length(text);
+        const std::size_t n = utf8_length(text);
         const auto c = static_cast<unsigned char>(text[0]);
         const bool control = (c < 0x20 && c != '\t' && c != '\n' && c != '\r') || c == 0x7f;
         if (n == 0 || control) {
--- a/src/profile/rule_index.cpp
+++ b/src/profile/rule_index.cpp
@@ -1,7 +1,7 @@
 #include "profile/pattern.h"
 
-#include <kingcupseam/encoding.h>
 #include <kingcupseam/error.h>
+#include <kingcupseam/types.h>
 
 #include <xxhash.h>
 
@@ -95,7 +95,7 @@
 }
 
 bool usable_key(const std::string& key) noexcept {
-    return key.size() <= max_key_bytes && !dot_segment(key) && encoding::is_plain_text(key);
+    return key.size() <= max_key_bytes && !dot_segment(key) && is_plain_text(key);
 }
 
 bool placeholders_filled(const segment_list& request, const shape& form) {
--- a/src/profile/store.cpp
+++ b/src/profile/store.cpp
@@ -1,8 +1,9 @@
 #include "profile/pattern.h"
 
-#include <kingcupseam/encoding.h>
 #include <kingcupseam/error.h>
+#include <kingcupseam/wire.h>
 
+#include <profile_types.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr std::uint8_t change_format = 1;
-constexpr std::uint8_t store_format = 1;
 constexpr std::size_t max_change_id = 64;
 // Conflicts are remembered with the content that won. This bounds them in the snapshot; a change that was
 // forgotten early gets a conflict when it is resent, since its base version is no longer in force.
@@ -33,23 +32,22 @@
     return {change_status::invalid, {}, problem};
 }
 
-void write(encoding::encoder& out, const accepted_profile& value) {
-    out.text(value.name).u64(value.version).text(value.content).text(value.change_id);
+wire::AcceptedProfile to_wire(const accepted_profile& value) {
+    wire::AcceptedProfile result;
+    result.name = value.name;
+    result.version = static_cast<std::int64_t>(value.version);
+    result.content = value.content;
+    result.change_id = value.change_id;
+    return result;
 }
 
-accepted_profile read_accepted(encoding::decoder& in) {
-    accepted_profile value;
-    value.name = in.text();
-    value.version = in.u64();
-    value.content = in.text();
-    value.change_id = in.text();
-    return value;
+accepted_profile from_wire(const wire::AcceptedProfile& value) {
+    return {value.name, static_cast<std::uint64_t>(value.version), value.content, value.change_id};
 }
 
-change_status read_status(encoding::decoder& in) {
-    const std::uint8_t value = in.u8();
-    if (value > static_cast<std::uint8_t>(change_status::invalid)) {
-        in.fail("a status must be 0 to 2");
+change_status status_of(std::int8_t value) {
+    if (value < 0 || value > static_cast<std::int8_t>(change_status::invalid)) {
+        throw invalid_input("profile store", "status", "must be 0 to 2");
     }
     return static_cast<change_status>(value);
 }
@@ -179,69 +177,57 @@
 }
 
 std::string store::encode() const {
-    encoding::encoder out(store_format);
-    out.u32(static_cast<std::uint32_t>(profiles_.size()));
+    wire::ProfileStore out;
     for (const auto& [name, it] : profiles_) {
-        write(out, it.accepted);
+        out.profiles.push_back(to_wire(it.accepted));
     }
-    out.u32(static_cast<std::uint32_t>(shard_counts_.size()));
     for (const auto& [name, shards] : shard_counts_) {
-        out.text(name).u32(shards);
+        auto& count = out.shard_counts.emplace_back();
+        count.service_name = name;
+        count.shards = static_cast<std::int32_t>(shards);
     }
-    out.u32(static_cast<std::uint32_t>(recent_.size()));
     for (const auto& it : recent_) {
-        out.text(it.change_id).u64(it.digest).u8(static_cast<std::uint8_t>(it.result.status));
-        write(out, it.result.in_force);
-        out.text(it.result.problem);
+        auto& kept = out.recent.emplace_back();
+        kept.change_id = it.change_id;
+        kept.digest = static_cast<std::int64_t>(it.digest);
+        kept.status = static_cast<std::int8_t>(it.result.status);
+        kept.in_force = to_wire(it.result.in_force);
+        kept.problem = it.result.problem;
     }
-    return out.take();
+    return wire::to_bytes(out);
 }
 
 store store::decode(const std::string& bytes) {
-    constexpr std::size_t accepted_bytes = 4 + 8 + 4 + 4;
-    encoding::decoder in("profile store", bytes, store_format);
+    const auto in = wire::parse_exact<wire::ProfileStore>("profile store", bytes);
     store result;
-    for (std::uint32_t n = in.length(accepted_bytes); n > 0; --n) {
-        accepted_profile it = read_accepted(in);
-        auto parsed = try_parse(it);
-        result.profiles_[it.name] = {it, std::move(parsed)};
-    }
-    for (std::uint32_t n = in.length(8); n > 0; --n) {
-        const std::string name = in.text();
-        result.shard_counts_[name] = in.u32();
-    }
-    for (std::uint32_t n = in.length(accepted_bytes + 17); n > 0; --n) {
-        answer it;
-        it.change_id = in.text();
-        it.digest = in.u64();
-        it.result.status = read_status(in);
-        it.result.in_force = read_accepted(in);
-        it.result.problem = in.text();
-        result.recent_bytes_ += it.result.in_force.content.size();
-        result.recent_.push_back(std::move(it));
-    }
-    in.finish();
+    for (const auto& it : in.profiles) {
+        const auto accepted = from_wire(it);
+        result.profiles_[it.name] = {accepted, try_parse(accepted)};
+    }
+    for (const auto& it : in.shard_counts) {
+        result.shard_counts_[it.service_name] = static_cast<std::uint32_t>(it.shards);
+    }
+    for (const auto& it : in.recent) {
+        result.recent_.push_back({it.change_id,
+                                  static_cast<std::uint64_t>(it.digest),
+                                  {status_of(it.status), from_wire(it.in_force), it.problem}});
+        result.recent_bytes_ += it.in_force.content.size();
+    }
     return result;
 }
 
 std::string encode(const change& wanted) {
-    return encoding::encoder(change_format)
-        .text(wanted.name)
-        .u64(wanted.base_version)
-        .text(wanted.change_id)
-        .text(wanted.content)
-        .take();
+    wire::ProfileChange out;
+    out.name = wanted.name;
+    out.base_version = static_cast<std::int64_t>(wanted.base_version);
+    out.change_id = wanted.change_id;
+    out.content = wanted.content;
+    return wire::to_bytes(out);
 }
 
 change decode_change(const std::string& bytes) {
-    encoding::decoder in("profile change", bytes, change_format);
-    change result;
-    result.name = in.text();
-    result.base_version = in.u64();
-    result.change_id = in.text();
-    result.content = in.text();
-    in.finish();
-    return result;
+    const auto in = wire::parse_exact<wire::ProfileChange>("profile change", bytes);
+    return {in.name, static_cast<std::uint64_t>(in.base_version), in.change_id, in.content};
 }
 
 } // namespace kingcupseam::profile
--- a/src/transport/codec.cpp
+++ b/src/transport/codec.cpp
@@ -1,50 +1,23 @@
 #include <kingcupseam/transport.h>
+#include <kingcupseam/wire.h>
 
 #include <peer_types.h>
 #include <state_types.h>
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 namespace kingcupseam::transport {
 
-namespace {
-
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
-// A frame cannot hold more than this many elements or bytes, so larger counts mean a corrupt payload. Without
-// the limit a few bytes could make the decoder reserve gigabytes.
-constexpr std::int32_t max_elements = 1024 * 1024;
-
-} // namespace
-
 template <class T>
 std::string encode(const T& value) {
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    value.write(&protocol);
-    return buffer->getBufferAsString();
+    return wire::to_bytes(value);
 }
 
 template <class T>
 T decode(std::string_view payload) {
-    // TMemoryBuffer takes a mutable pointer but only reads from it in OBSERVE mode.
-    auto* const bytes = const_cast<std::uint8_t*>( // NOLINT(cppcoreguidelines-pro-type-const-cast)
-        reinterpret_cast<const std::uint8_t*>(payload.data()));
-    const auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(payload.size()),
-                                                        TMemoryBuffer::OBSERVE);
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer, static_cast<std::int32_t>(max_frame_bytes),
-                                              max_elements);
-    T value;
     try {
-        value.read(&protocol);
-    } catch (const apache::thrift::TException& e) {
-        throw malformed_frame(std::string("payload: ") + e.what());
-    } catch (const std::bad_alloc&) {
-        throw malformed_frame("payload: element count exceeds the payload");
+        return wire::from_bytes<T>(payload);
+    } catch (const wire::malformed_payload& e) {
+        throw malformed_frame(e.what());
     }
-    return value;
 }
 
 #define KINGCUPSEAM_WIRE_TYPE(type)                                                                          \
--- a/src/encoding/utf8.cpp
+++ b/src/types/utf8.cpp
@@ -1,6 +1,6 @@
-#include <kingcupseam/encoding.h>
+#include <kingcupseam/types.h>
 
-namespace kingcupseam::encoding {
+namespace kingcupseam {
 
 std::size_t utf8_length(std::string_view text) noexcept {
     if (text.empty()) {
@@ -39,4 +39,4 @@
     return true;
 }
 
-} // namespace kingcupseam::encoding
+} // namespace kingcupseam
--- a/tests/ownership/world_processes.cpp
+++ b/tests/ownership/world_processes.cpp
@@ -187,7 +187,7 @@
 
 void world::push_grant(const std::string& name, gate& it, const upstream_row& row) {
     const upstream_id id(row.name, row.incarnation);
-    auto& own = it.issuers.try_emplace(id, issued{grant_issuer(lease, interval), {}}).first->second;
+    auto& own = it.issuers.try_emplace(id, issued{grant_issuer(lease, interval), {}, {}}).first->second;
     const auto now = local(it.local);
     while (!own.open.empty() && own.open.front().deadline <= now) {
         own.open.erase(own.open.begin());
--- a/tests/types/types_test.cpp
+++ b/tests/types/types_test.cpp
@@ -40,3 +40,17 @@
         }
     }
 }
+
+TEST_CASE("text from outside is safe to repeat in headers and JSON") {
+    CHECK(is_plain_text("raft 7 d\xc3\xa9p\xc3\xb4t"));
+    SUBCASE("a line break would split a header") {
+        CHECK_FALSE(is_plain_text("a\r\nb"));
+    }
+    SUBCASE("malformed UTF-8 would make a JSON answer fail") {
+        CHECK_FALSE(is_plain_text("a\xff"));
+        CHECK_FALSE(is_plain_text("a\xe2\x82"));
+    }
+    SUBCASE("an empty text has no first character") {
+        CHECK(utf8_length("") == 0);
+    }
+}
