Store routing tables and commands as Thrift compact structs

Cause: ownership had its own variable-length integer codec, although Thrift is the project's codec.

Change: idl/ownership.thrift replaces it. Each column of the shards is a list of runs; a count of one is left out. Ranges, run lengths and indexes are checked as before, and every fault is invalid_input. Tables and commands of earlier builds are not readable. The benchmark prints encode and decode times.

Ruled out: run counts always present (one byte more for each run); one list of alternating counts and values, which is smaller but has no structure.

--- a/benchmark/ownership_balance.cpp
+++ b/benchmark/ownership_balance.cpp
@@ -144,6 +144,25 @@
     require(it.moved == 0 && it.keys_moved <= 10, "hot keys move alone, at most 10 in a period");
 }
 
+void time_codec(const table& rows) {
+    constexpr int rounds = 50;
+    std::string bytes;
+    std::size_t decoded = 0;
+    const auto begin = steady_now();
+    for (int n = 0; n < rounds; ++n) {
+        bytes = encode(rows);
+    }
+    const auto middle = steady_now();
+    for (int n = 0; n < rounds; ++n) {
+        decoded += decode_table(bytes).upstreams.size();
+    }
+    const auto end = steady_now();
+    std::printf("  codec  encode %8.1f us  decode %8.1f us\n",
+                static_cast<double>((middle - begin).count()) / rounds,
+                static_cast<double>((end - middle).count()) / rounds);
+    require(decoded == rounds * rows.upstreams.size(), "every upstream is decoded");
+}
+
 void measure(std::size_t upstreams, std::uint32_t shards) {
     std::printf("%zu upstreams, %u shards\n", upstreams, shards);
     cluster it(shards);
@@ -155,6 +174,7 @@
     check_balance(it, upstreams);
     report_keys(it, upstreams);
     std::printf("  table  %zu bytes after forming\n", encode(it.rows()).size());
+    time_codec(it.rows());
 
     auto before = it.shard_counts();
     it.announce(upstreams);
--- /dev/null
+++ b/idl/ownership.thrift
@@ -0,0 +1,103 @@
+// Routing table of a data centre and the commands that change it. Unsigned values travel in the signed type of the
+// same width. Indexes of upstreams are raised by one, so that "no upstream", the most frequent value, is zero.
+namespace cpp kingcupseam.wire
+
+struct UpstreamRow {
+  1: string name
+  2: i64 incarnation
+  3: string service_name
+  4: string address
+  5: i32 slots
+  6: i32 connections
+  7: bool checks_grants
+  8: i8 condition
+  9: string gate
+  10: string standby
+  11: i64 epoch
+  12: i64 version
+}
+
+// A value that repeats along the shards. A count of one is left out.
+struct Run {
+  1: i64 value
+  2: optional i32 count
+}
+
+struct HotKeyRow {
+  1: string key
+  2: i64 owner
+  3: i64 target
+  4: i64 epoch
+}
+
+// Each column is run-length coded by itself: owners change far more often along the shards than the others.
+struct ServiceRows {
+  1: string name
+  2: i32 shards
+  3: list<Run> owners
+  4: list<Run> targets
+  5: list<Run> epochs
+  6: list<HotKeyRow> hot_keys
+}
+
+struct LedgerGroup {
+  1: list<string> replicas
+  2: list<string> joining
+}
+
+struct Table {
+  1: string data_center
+  2: i64 generation
+  3: i64 version
+  4: list<UpstreamRow> upstreams
+  5: list<ServiceRows> services
+  6: list<LedgerGroup> ledger_groups
+}
+
+// Lists of shards hold the difference of each shard from the one before it; they are mostly ascending.
+struct RegisterUpstream {
+  1: UpstreamRow row
+  2: i32 shards
+  3: list<i32> homes
+}
+
+struct SetCondition {
+  1: string upstream
+  2: i64 incarnation
+  3: i8 condition
+  4: i64 observed
+}
+
+struct SetGate {
+  1: string upstream
+  2: string gate
+  3: string standby
+}
+
+struct Move {
+  1: string service_name
+  2: list<i32> shards
+  3: list<string> hot_keys
+  4: string to
+}
+
+struct SetHomes {
+  1: string service_name
+  2: list<i32> shards
+}
+
+struct SetLedgerGroup {
+  1: i32 group
+  2: LedgerGroup replicas
+}
+
+// Exactly one field is set.
+struct OwnershipCommand {
+  1: optional RegisterUpstream register_upstream
+  2: optional SetCondition set_condition
+  3: optional SetGate set_gate
+  4: optional Move begin_move
+  5: optional Move complete_move
+  6: optional SetHomes set_homes
+  7: optional SetLedgerGroup set_ledger_group
+}
--- a/include/kingcupseam/ownership.h
+++ b/include/kingcupseam/ownership.h
@@ -99,7 +99,7 @@
 /// lost.
 grant_scope scope_of(const table& rows, const upstream_row& upstream);
 
-/// Compact binary form (Thrift-free, versioned): a row of shards is run-length coded.
+/// Thrift compact form (idl/ownership.thrift): the rows of shards are run-length coded.
 std::string encode(const table& rows);
 /// @throws invalid_input
 table decode_table(const std::string& bytes);
--- a/src/ownership/command_codec.cpp
+++ b/src/ownership/command_codec.cpp
@@ -1,163 +1,153 @@
 #include "ownership/table_codec.h"
 
+#include <kingcupseam/error.h>
+#include <kingcupseam/wire.h>
+
 namespace kingcupseam::ownership {
 
 namespace {
 
+constexpr const char* command_source = "command";
+
 // Lists of shards are mostly ascending; differences keep one byte for each.
 template <typename List>
-void write_shards(byte_writer& out, const List& shards) {
-    out.number(shards.size());
-    std::int64_t last = 0;
-    for (const std::int64_t shard : shards) {
-        const auto step = shard - last;
-        out.number(step < 0 ? static_cast<std::uint64_t>(-step) * 2 - 1
-                            : static_cast<std::uint64_t>(step) * 2);
+std::vector<std::int32_t> to_steps(const List& shards) {
+    std::vector<std::int32_t> steps;
+    steps.reserve(shards.size());
+    std::uint32_t last = 0;
+    for (const auto shard : shards) {
+        steps.push_back(static_cast<std::int32_t>(shard - last));
         last = shard;
     }
+    return steps;
 }
 
-std::vector<std::uint32_t> read_shards(byte_reader& in) {
-    std::vector<std::uint32_t> shards(in.length());
+std::vector<std::uint32_t> from_steps(const std::vector<std::int32_t>& steps) {
+    std::vector<std::uint32_t> shards;
+    shards.reserve(steps.size());
     std::int64_t last = 0;
-    for (auto& it : shards) {
-        const auto coded = static_cast<std::int64_t>(in.number_up_to(2ULL * max_shards));
-        last += coded % 2 == 0 ? coded / 2 : -(coded + 1) / 2;
+    for (const std::int64_t step : steps) {
+        last += step;
         if (last < 0 || last >= static_cast<std::int64_t>(max_shards)) {
-            in.fail("shard out of range");
+            throw invalid_input(command_source, "shards", "shard out of range");
         }
-        it = static_cast<std::uint32_t>(last);
+        shards.push_back(static_cast<std::uint32_t>(last));
     }
     return shards;
 }
 
-template <typename Move>
-void write_move(byte_writer& out, const Move& change) {
-    out.text(change.service);
-    write_shards(out, change.shards);
-    write(out, change.hot_keys);
-    out.text(change.to);
-}
-
-template <typename Move>
-Move read_move(byte_reader& in) {
-    Move change;
-    change.service = in.text();
-    change.shards = read_shards(in);
-    change.hot_keys = read_texts(in);
-    change.to = in.text();
-    return change;
-}
-
-void write(byte_writer& out, const register_upstream& change) {
-    write(out, change.row);
-    out.number(change.shards);
-    write_shards(out, change.homes);
-}
-void write(byte_writer& out, const set_condition& change) {
-    out.text(change.upstream);
-    out.number(change.incarnation);
-    out.number(static_cast<std::uint64_t>(change.condition));
-    out.number(change.observed);
-}
-void write(byte_writer& out, const set_gate& change) {
-    out.text(change.upstream);
-    out.text(change.gate);
-    out.text(change.standby);
-}
-void write(byte_writer& out, const begin_move& change) {
-    write_move(out, change);
-}
-void write(byte_writer& out, const complete_move& change) {
-    write_move(out, change);
-}
-void write(byte_writer& out, const set_homes& change) {
-    out.text(change.service);
-    write_shards(out, change.shards);
-}
-void write(byte_writer& out, const set_ledger_group& change) {
-    out.number(change.group);
-    write(out, change.replicas);
-}
-
-register_upstream read_register(byte_reader& in) {
-    register_upstream change;
-    change.row = read_upstream(in);
-    change.shards = static_cast<std::uint32_t>(in.number_up_to(max_shards));
-    const auto homes = read_shards(in);
-    change.homes.insert(homes.begin(), homes.end());
-    return change;
-}
-
-set_condition read_condition(byte_reader& in) {
-    set_condition change;
-    change.upstream = in.text();
-    change.incarnation = in.number();
-    change.condition = static_cast<upstream_status>(in.number_up_to(static_cast<int>(upstream_status::lost)));
-    change.observed = in.number();
-    return change;
-}
-
-set_gate read_gate(byte_reader& in) {
-    set_gate change;
-    change.upstream = in.text();
-    change.gate = in.text();
-    change.standby = in.text();
-    return change;
-}
-
-set_homes read_homes(byte_reader& in) {
-    set_homes change;
-    change.service = in.text();
-    change.shards = read_shards(in);
-    return change;
-}
-
-set_ledger_group read_group(byte_reader& in) {
-    set_ledger_group change;
-    change.group = static_cast<std::uint32_t>(in.number_up_to(0xffffffff));
-    change.replicas = read_ledger_group(in);
-    return change;
-}
-
-// The numbers are the positions in the variant and part of the encoding.
-command read_command(byte_reader& in) {
-    switch (in.number_up_to(std::variant_size_v<command> - 1)) {
-    case 0:
-        return read_register(in);
-    case 1:
-        return read_condition(in);
-    case 2:
-        return read_gate(in);
-    case 3:
-        return read_move<begin_move>(in);
-    case 4:
-        return read_move<complete_move>(in);
-    case 5:
-        return read_homes(in);
-    default:
-        return read_group(in);
+template <typename Change>
+wire::Move to_wire_move(const Change& change) {
+    wire::Move out;
+    out.service_name = change.service;
+    out.shards = to_steps(change.shards);
+    out.hot_keys = change.hot_keys;
+    out.to = change.to;
+    return out;
+}
+
+template <typename Change>
+Change from_wire_move(const wire::Move& in) {
+    return {in.service_name, from_steps(in.shards), in.hot_keys, in.to};
+}
+
+void fill(wire::OwnershipCommand& out, const register_upstream& change) {
+    wire::RegisterUpstream value;
+    value.row = to_wire(change.row);
+    value.shards = static_cast<std::int32_t>(change.shards);
+    value.homes = to_steps(change.homes);
+    out.__set_register_upstream(value);
+}
+void fill(wire::OwnershipCommand& out, const set_condition& change) {
+    wire::SetCondition value;
+    value.upstream = change.upstream;
+    value.incarnation = static_cast<std::int64_t>(change.incarnation);
+    value.condition = static_cast<std::int8_t>(change.condition);
+    value.observed = static_cast<std::int64_t>(change.observed);
+    out.__set_set_condition(value);
+}
+void fill(wire::OwnershipCommand& out, const set_gate& change) {
+    wire::SetGate value;
+    value.upstream = change.upstream;
+    value.gate = change.gate;
+    value.standby = change.standby;
+    out.__set_set_gate(value);
+}
+void fill(wire::OwnershipCommand& out, const begin_move& change) {
+    out.__set_begin_move(to_wire_move(change));
+}
+void fill(wire::OwnershipCommand& out, const complete_move& change) {
+    out.__set_complete_move(to_wire_move(change));
+}
+void fill(wire::OwnershipCommand& out, const set_homes& change) {
+    wire::SetHomes value;
+    value.service_name = change.service;
+    value.shards = to_steps(change.shards);
+    out.__set_set_homes(value);
+}
+void fill(wire::OwnershipCommand& out, const set_ledger_group& change) {
+    wire::SetLedgerGroup value;
+    value.group = static_cast<std::int32_t>(change.group);
+    value.replicas = to_wire(change.replicas);
+    out.__set_set_ledger_group(value);
+}
+
+register_upstream change_of(const wire::RegisterUpstream& in) {
+    if (in.shards < 0 || static_cast<std::uint32_t>(in.shards) > max_shards) {
+        throw invalid_input(command_source, "shards", "must be 0 to " + std::to_string(max_shards));
+    }
+    const auto homes = from_steps(in.homes);
+    return {from_wire(command_source, in.row),
+            static_cast<std::uint32_t>(in.shards),
+            {homes.begin(), homes.end()}};
+}
+
+set_condition change_of(const wire::SetCondition& in) {
+    return {in.upstream, static_cast<std::uint64_t>(in.incarnation),
+            condition_of(command_source, in.condition), static_cast<epoch_number>(in.observed)};
+}
+
+std::vector<command> changes_of(const wire::OwnershipCommand& in) {
+    std::vector<command> found;
+    if (in.__isset.register_upstream) {
+        found.emplace_back(change_of(in.register_upstream));
+    }
+    if (in.__isset.set_condition) {
+        found.emplace_back(change_of(in.set_condition));
+    }
+    if (in.__isset.set_gate) {
+        found.emplace_back(set_gate{in.set_gate.upstream, in.set_gate.gate, in.set_gate.standby});
+    }
+    if (in.__isset.begin_move) {
+        found.emplace_back(from_wire_move<begin_move>(in.begin_move));
+    }
+    if (in.__isset.complete_move) {
+        found.emplace_back(from_wire_move<complete_move>(in.complete_move));
+    }
+    if (in.__isset.set_homes) {
+        found.emplace_back(set_homes{in.set_homes.service_name, from_steps(in.set_homes.shards)});
+    }
+    if (in.__isset.set_ledger_group) {
+        found.emplace_back(set_ledger_group{static_cast<std::uint32_t>(in.set_ledger_group.group),
+                                            from_wire(in.set_ledger_group.replicas)});
     }
+    return found;
 }
 
 } // namespace
 
 std::string encode(const command& change) {
-    byte_writer out;
-    out.number(codec_version);
-    out.number(change.index());
-    std::visit([&out](const auto& it) { write(out, it); }, change);
-    return out.take();
+    wire::OwnershipCommand out;
+    std::visit([&out](const auto& it) { fill(out, it); }, change);
+    return wire::to_bytes(out);
 }
 
 command decode_command(const std::string& bytes) {
-    byte_reader in("command", bytes);
-    if (in.number() != codec_version) {
-        in.fail("unknown version of the encoding");
+    auto found = changes_of(wire::parse_exact<wire::OwnershipCommand>(command_source, bytes));
+    if (found.size() != 1) {
+        throw invalid_input(command_source, "bytes", "must hold exactly one command");
     }
-    command change = read_command(in);
-    in.expect_end();
-    return change;
+    return std::move(found.front());
 }
 
 } // namespace kingcupseam::ownership
--- a/src/ownership/table_codec.cpp
+++ b/src/ownership/table_codec.cpp
@@ -1,74 +1,94 @@
 #include "ownership/table_codec.h"
 
+#include <kingcupseam/error.h>
+#include <kingcupseam/wire.h>
+
 namespace kingcupseam::ownership {
 
 namespace {
 
+constexpr const char* table_source = "table";
+
 // no_upstream is the most frequent value of `next`; adding one makes it zero, which takes one byte.
-std::uint64_t pack(std::uint32_t index) {
+std::int64_t pack(std::uint32_t index) {
     return static_cast<std::uint32_t>(index + 1U);
 }
-std::uint32_t unpack(std::uint64_t value) {
+
+std::uint32_t unpack(std::int64_t value) {
+    if (value < 0 || value > static_cast<std::int64_t>(no_upstream)) {
+        throw invalid_input(table_source, "index", "must fit 32 bits");
+    }
     return static_cast<std::uint32_t>(value) - 1U;
 }
 
-// Each column is run-length coded by itself: owners change far more often along the shards than the others.
 template <typename Field>
-void write_column(byte_writer& out, const std::vector<shard_row>& rows, Field field) {
+std::vector<wire::Run> to_runs(const std::vector<shard_row>& rows, Field field) {
+    std::vector<wire::Run> runs;
     for (std::size_t n = 0; n < rows.size();) {
         std::size_t end = n + 1;
         while (end < rows.size() && field(rows[end]) == field(rows[n])) {
             ++end;
         }
-        out.number(end - n);
-        out.number(field(rows[n]));
+        auto& run = runs.emplace_back();
+        run.value = field(rows[n]);
+        if (end - n > 1) {
+            run.__set_count(static_cast<std::int32_t>(end - n));
+        }
         n = end;
     }
+    return runs;
 }
 
 template <typename Assign>
-void read_column(byte_reader& in, std::vector<shard_row>& rows, std::uint64_t limit, Assign assign) {
-    for (std::size_t n = 0; n < rows.size();) {
-        const auto run = in.number_up_to(rows.size() - n);
-        if (run == 0) {
-            in.fail("empty run of shards");
+void from_runs(const std::vector<wire::Run>& runs, std::vector<shard_row>& rows, Assign assign) {
+    std::size_t n = 0;
+    for (const auto& it : runs) {
+        const std::int64_t count = it.__isset.count ? it.count : 1;
+        if (count < 1 || static_cast<std::uint64_t>(count) > rows.size() - n) {
+            throw invalid_input(table_source, "run", "does not fit the number of shards");
         }
-        const auto value = in.number_up_to(limit);
-        for (const auto end = n + run; n < end; ++n) {
-            assign(rows[n], value);
+        for (const auto end = n + static_cast<std::size_t>(count); n < end; ++n) {
+            assign(rows[n], it.value);
         }
     }
+    if (n != rows.size()) {
+        throw invalid_input(table_source, "run", "runs do not cover all shards");
+    }
 }
 
-void write(byte_writer& out, const service_rows& service) {
-    out.number(service.shards.size());
-    write_column(out, service.shards, [](const shard_row& it) { return pack(it.owner); });
-    write_column(out, service.shards, [](const shard_row& it) { return pack(it.next); });
-    write_column(out, service.shards, [](const shard_row& it) { return it.epoch; });
-    out.number(service.hot_keys.size());
+wire::ServiceRows to_wire(const std::string& name, const service_rows& service) {
+    wire::ServiceRows out;
+    out.name = name;
+    out.shards = static_cast<std::int32_t>(service.shards.size());
+    out.owners = to_runs(service.shards, [](const shard_row& it) { return pack(it.owner); });
+    out.targets = to_runs(service.shards, [](const shard_row& it) { return pack(it.next); });
+    out.epochs = to_runs(service.shards, [](const auto& it) { return static_cast<std::int64_t>(it.epoch); });
     for (const auto& [key, row] : service.hot_keys) {
-        out.text(key);
-        out.number(pack(row.owner));
-        out.number(pack(row.next));
-        out.number(row.epoch);
+        auto& it = out.hot_keys.emplace_back();
+        it.key = key;
+        it.owner = pack(row.owner);
+        it.target = pack(row.next);
+        it.epoch = static_cast<std::int64_t>(row.epoch);
     }
+    return out;
 }
 
 // The limit holds for all services together, since a run of shards takes few bytes.
-service_rows read_service(byte_reader& in, std::size_t& shards_left) {
+service_rows from_wire(const wire::ServiceRows& in, std::size_t& shards_left) {
+    if (in.shards < 0 || static_cast<std::size_t>(in.shards) > shards_left) {
+        throw invalid_input(table_source, "shards",
+                            "must be 0 to " + std::to_string(max_shards) + " for all services together");
+    }
+    shards_left -= static_cast<std::size_t>(in.shards);
     service_rows service;
-    service.shards.resize(in.number_up_to(shards_left));
-    shards_left -= service.shards.size();
-    read_column(in, service.shards, no_upstream, [](auto& it, auto value) { it.owner = unpack(value); });
-    read_column(in, service.shards, no_upstream, [](auto& it, auto value) { it.next = unpack(value); });
-    read_column(in, service.shards, ~0ULL, [](auto& it, auto value) { it.epoch = value; });
-    for (auto n = in.length(); n > 0; --n) {
-        auto key = in.text();
-        shard_row row;
-        row.owner = unpack(in.number_up_to(no_upstream));
-        row.next = unpack(in.number_up_to(no_upstream));
-        row.epoch = in.number();
-        service.hot_keys.emplace(std::move(key), row);
+    service.shards.resize(static_cast<std::size_t>(in.shards));
+    from_runs(in.owners, service.shards, [](auto& it, auto value) { it.owner = unpack(value); });
+    from_runs(in.targets, service.shards, [](auto& it, auto value) { it.next = unpack(value); });
+    from_runs(in.epochs, service.shards,
+              [](auto& it, auto value) { it.epoch = static_cast<epoch_number>(value); });
+    for (const auto& it : in.hot_keys) {
+        const shard_row row{unpack(it.owner), unpack(it.target), static_cast<epoch_number>(it.epoch)};
+        service.hot_keys.emplace(it.key, row);
     }
     return service;
 }
@@ -77,130 +97,113 @@
     return index < upstreams || index == no_upstream;
 }
 
-void check_indexes(const byte_reader& in, const table& rows) {
-    const auto valid = [&rows](const shard_row& it) {
-        const auto n = rows.upstreams.size();
-        return known_index(it.owner, n) && (it.next == leaving || known_index(it.next, n));
+void check_indexes(const table& rows) {
+    const auto check = [n = rows.upstreams.size()](const shard_row& it) {
+        if (!known_index(it.owner, n) || (it.next != leaving && !known_index(it.next, n))) {
+            throw invalid_input(table_source, "index", "unknown upstream index");
+        }
     };
     for (const auto& [name, service] : rows.services) {
         for (const auto& it : service.shards) {
-            if (!valid(it)) {
-                in.fail("unknown upstream index");
-            }
+            check(it);
         }
         for (const auto& [key, it] : service.hot_keys) {
-            if (!valid(it) || service.shards.empty()) {
-                in.fail("unknown upstream index");
-            }
+            check(it);
+        }
+        if (!service.hot_keys.empty() && service.shards.empty()) {
+            throw invalid_input(table_source, "hot_keys", "a service without shards has none");
         }
     }
 }
 
 } // namespace
 
-void write(byte_writer& out, const std::vector<std::string>& list) {
-    out.number(list.size());
-    for (const auto& it : list) {
-        out.text(it);
-    }
-}
-
-std::vector<std::string> read_texts(byte_reader& in) {
-    std::vector<std::string> list(in.length());
-    for (auto& it : list) {
-        it = in.text();
+upstream_status condition_of(const std::string& source, std::int8_t value) {
+    if (value < 0 || value > static_cast<std::int8_t>(upstream_status::lost)) {
+        throw invalid_input(source, "condition", "must be 0 to 3");
     }
-    return list;
-}
-
-void write(byte_writer& out, const upstream_row& row) {
-    out.text(row.name);
-    out.number(row.incarnation);
-    out.text(row.service);
-    out.text(row.address);
-    out.number(row.slots);
-    out.number(row.connections);
-    out.flag(row.checks_grants);
-    out.number(static_cast<std::uint64_t>(row.condition));
-    out.text(row.gate);
-    out.text(row.standby);
-    out.number(row.epoch);
-    out.number(row.version);
-}
-
-upstream_row read_upstream(byte_reader& in) {
-    upstream_row row;
-    row.name = in.text();
-    row.incarnation = in.number();
-    row.service = in.text();
-    row.address = in.text();
-    row.slots = static_cast<std::uint32_t>(in.number_up_to(0xffffffff));
-    row.connections = static_cast<std::uint32_t>(in.number_up_to(0xffffffff));
-    row.checks_grants = in.flag();
-    row.condition = static_cast<upstream_status>(in.number_up_to(static_cast<int>(upstream_status::lost)));
-    row.gate = in.text();
-    row.standby = in.text();
-    row.epoch = in.number();
-    row.version = in.number();
-    return row;
-}
-
-void write(byte_writer& out, const ledger_group& group) {
-    write(out, group.replicas);
-    write(out, group.joining);
-}
-
-ledger_group read_ledger_group(byte_reader& in) {
-    ledger_group group;
-    group.replicas = read_texts(in);
-    group.joining = read_texts(in);
-    return group;
+    return static_cast<upstream_status>(value);
+}
+
+wire::UpstreamRow to_wire(const upstream_row& row) {
+    wire::UpstreamRow out;
+    out.name = row.name;
+    out.incarnation = static_cast<std::int64_t>(row.incarnation);
+    out.service_name = row.service;
+    out.address = row.address;
+    out.slots = static_cast<std::int32_t>(row.slots);
+    out.connections = static_cast<std::int32_t>(row.connections);
+    out.checks_grants = row.checks_grants;
+    out.condition = static_cast<std::int8_t>(row.condition);
+    out.gate = row.gate;
+    out.standby = row.standby;
+    out.epoch = static_cast<std::int64_t>(row.epoch);
+    out.version = static_cast<std::int64_t>(row.version);
+    return out;
+}
+
+upstream_row from_wire(const std::string& source, const wire::UpstreamRow& row) {
+    return {row.name,
+            static_cast<std::uint64_t>(row.incarnation),
+            row.service_name,
+            row.address,
+            static_cast<std::uint32_t>(row.slots),
+            static_cast<std::uint32_t>(row.connections),
+            row.checks_grants,
+            condition_of(source, row.condition),
+            row.gate,
+            row.standby,
+            static_cast<epoch_number>(row.epoch),
+            static_cast<epoch_number>(row.version)};
+}
+
+wire::LedgerGroup to_wire(const ledger_group& group) {
+    wire::LedgerGroup out;
+    out.replicas = group.replicas;
+    out.joining = group.joining;
+    return out;
+}
+
+ledger_group from_wire(const wire::LedgerGroup& group) {
+    return {group.replicas, group.joining};
 }
 
 std::string encode(const table& rows) {
-    byte_writer out;
-    out.number(codec_version);
-    out.text(rows.data_center);
-    out.number(rows.generation);
-    out.number(rows.version);
-    out.number(rows.upstreams.size());
+    wire::Table out;
+    out.data_center = rows.data_center;
+    out.generation = static_cast<std::int64_t>(rows.generation);
+    out.version = static_cast<std::int64_t>(rows.version);
+    out.upstreams.reserve(rows.upstreams.size());
     for (const auto& it : rows.upstreams) {
-        write(out, it);
+        out.upstreams.push_back(to_wire(it));
     }
-    out.number(rows.services.size());
     for (const auto& [name, service] : rows.services) {
-        out.text(name);
-        write(out, service);
+        out.services.push_back(to_wire(name, service));
     }
-    out.number(rows.ledger_groups.size());
     for (const auto& it : rows.ledger_groups) {
-        write(out, it);
+        out.ledger_groups.push_back(to_wire(it));
     }
-    return out.take();
+    return wire::to_bytes(out);
 }
 
 table decode_table(const std::string& bytes) {
-    byte_reader in("table", bytes);
-    if (in.number() != codec_version) {
-        in.fail("unknown version of the encoding");
-    }
+    const auto in = wire::parse_exact<wire::Table>(table_source, bytes);
     table rows;
-    rows.data_center = in.text();
-    rows.generation = in.number();
-    rows.version = in.number();
-    for (auto n = in.length(); n > 0; --n) {
-        rows.upstreams.push_back(read_upstream(in));
+    rows.data_center = in.data_center;
+    rows.generation = static_cast<std::uint64_t>(in.generation);
+    rows.version = static_cast<std::uint64_t>(in.version);
+    rows.upstreams.reserve(in.upstreams.size());
+    for (const auto& it : in.upstreams) {
+        rows.upstreams.push_back(from_wire(table_source, it));
     }
     std::size_t shards_left = max_shards;
-    for (auto n = in.length(); n > 0; --n) {
-        auto name = in.text();
-        rows.services.emplace(std::move(name), read_service(in, shards_left));
+    for (const auto& it : in.services) {
+        rows.services.emplace(it.name, from_wire(it, shards_left));
     }
-    for (auto n = in.length(); n > 0; --n) {
-        rows.ledger_groups.push_back(read_ledger_group(in));
+    for (const auto& it : in.ledger_groups) {
+        rows.ledger_groups.push_back(from_wire(it));
     }
-    in.expect_end();
-    check_indexes(in, rows);
+    check_indexes(rows);
     return rows;
 }
 
