Add measurements of routing, outage, control traffic and one instance

The control thread's bytes, frames by type, processor time and memory are published on the metrics endpoint. Clusters take the second byte of their loopback addresses as a parameter: a demonstration that ran on the same machine shared its ports with a measurement and their loads mixed.

--- a/src/app/instance/control.cpp
+++ b/src/app/instance/control.cpp
@@ -51,7 +51,7 @@
           shared_, global_,
           {[this](auto rows) { on_table(settings_.data_center, std::move(rows)); }, callbacks_.on_lease}),
       detector_(membership_options_of(settings, incarnation), steady_now()), timer_(context),
-      next_gossip_(steady_now()), random_(incarnation) {
+      next_gossip_(steady_now()), random_(incarnation), usage_(registry) {
     view_.self = settings.name;
     view_.data_center = settings.data_center;
     for (const auto& it : settings.seeds) {
@@ -90,6 +90,7 @@
         next_gossip_ = now + gossip_interval;
         gossip(now);
         fetch_tables();
+        usage_.update(mesh_, *server_, *datagrams_);
     }
     if (known_instances_ != shared_.instances.size()) {
         known_instances_ = shared_.instances.size();
@@ -172,6 +173,7 @@
     using transport::encode;
     using transport::frame_type;
     const time_point now = steady_now();
+    usage_.count(received);
     switch (received.type) {
     case frame_type::consensus_message: {
         const auto message = from_wire(decode<wire::ConsensusMessage>(received.payload));
@@ -227,6 +229,7 @@
 }
 
 void control::on_datagram(const endpoint_address& from, std::string_view payload) {
+    usage_.count_datagram();
     try {
         send(detector_.receive(decode_membership_message(payload), from, steady_now()));
     } catch (const transport::malformed_frame&) {
--- a/src/app/instance/control.h
+++ b/src/app/instance/control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/instance/control_context.h"
+#include "app/instance/control_usage.h"
 #include "app/instance/data_center_tier.h"
 #include "app/instance/global_tier.h"
 #include "app/instance/operator_api.h"
@@ -66,6 +67,7 @@
     asio::steady_timer timer_;
     time_point next_gossip_;
     std::mt19937_64 random_;
+    control_usage usage_;
     std::size_t known_instances_ = 0;
     bool stopping_ = false;
     time_point stopping_since_;
--- /dev/null
+++ b/src/app/instance/control_usage.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "app/instance/peer_mesh.h"
+
+#include <kingcupseam/metrics.h>
+
+#include <map>
+
+namespace kingcupseam::app {
+
+/// Measures what the control thread costs, for docs/CAPACITY.md. All members are called on that thread.
+class control_usage {
+public:
+    explicit control_usage(metrics::registry& registry);
+
+    /// Counts a frame that reached the control thread's frame handler. Replies to requests and heartbeats are
+    /// contained only in the byte totals.
+    void count(const transport::frame& received);
+    void count_datagram();
+    /// Writes the totals of the links and the use of processor time and memory to the registry.
+    void update(const peer_mesh& links, const transport::peer_server& server,
+                const transport::datagram_channel& datagrams);
+
+private:
+    struct totals {
+        metrics::counter& frames;
+        metrics::counter& bytes;
+    };
+    metrics::registry& registry_;
+    std::map<transport::frame_type, totals> by_type_;
+    metrics::counter& datagrams_;
+    metrics::gauge& link_bytes_sent_;
+    metrics::gauge& link_bytes_received_;
+    metrics::gauge& datagram_bytes_sent_;
+    metrics::gauge& datagram_bytes_received_;
+    metrics::gauge& processor_us_;
+    metrics::gauge& resident_bytes_;
+};
+
+} // namespace kingcupseam::app
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -51,10 +51,10 @@
 
 
 class Cluster:
-    """Instances of three data centres and the upstreams of one firm."""
+    """Instances of three data centres and the upstreams of one firm, on addresses 127.network.x.1."""
 
     def __init__(self, run_folder, binary, firm="navalsig", per_data_center=(4, 3, 3), services=None,
-                 routing="gate", service_time_ms=10, base_port=21000, stand_in_options=()):
+                 routing="gate", service_time_ms=10, base_port=21000, stand_in_options=(), network=0):
         self.run_folder = run_folder
         self.binary = binary
         self.firm = firm
@@ -69,7 +69,7 @@
             for i in range(count):
                 name = f"{'abc'[n]}{i + 1}"
                 port = base_port + PORTS_PER_INSTANCE * i
-                self.instances.append(Instance(name, "north east south".split()[n], f"127.0.{n + 1}.1", port, i == 0))
+                self.instances.append(Instance(name, "north east south".split()[n], f"127.{network}.{n + 1}.1", port, i == 0))
         shutil.rmtree(run_folder, ignore_errors=True)
         os.makedirs(self.records)
 
--- /dev/null
+++ b/tools/measure_control.py
@@ -0,0 +1,140 @@
+"""Measures the control traffic, the processor time of the control thread and the memory of each instance, idle and under
+load, at several sizes, and fits slopes."""
+
+import re
+import time
+
+import measure_common as common
+
+# Instances per data centre, upstreams of the first service.
+SIZES = ((1, 1, 1), (3, 2, 2), (4, 3, 3), (6, 5, 5), (10, 10, 10))
+METRIC = re.compile(r"^(kingcupseam_\w+)(?:\{(.*)\})? ([0-9.e+-]+)$", re.M)
+LIMIT_BYTES = 2000
+LIMIT_CORE = 0.038
+
+
+def add_options(parser):
+    parser.add_argument("--seconds", type=float, default=10, help="duration of one window")
+    parser.add_argument("--sizes", default=";".join(",".join(map(str, it)) for it in SIZES))
+    parser.add_argument("--upstreams-per-instance", type=int, default=3)
+    parser.add_argument("--rate-per-instance", type=int, default=30, help="requests/s under load")
+
+
+def sample(running, it):
+    result = {}
+    for name, tags, value in METRIC.findall(running.call(it.operator, "/metrics")):
+        result[name, tags] = float(value)
+    return result
+
+
+def total(values, name, *tags):
+    return sum(value for (key, key_tags), value in values.items()
+               if key == name and all(it in key_tags for it in tags))
+
+
+def roles(running):
+    """Role of each instance: leader of the data centre's group, then durable voter, voter, other."""
+    result = {}
+    for it in running.instances:
+        group = running.status(it).get("data_center_group") or {"leads": False, "voters": []}
+        if group["leads"]:
+            result[it.name] = "leader, durable" if it.durable else "leader"
+        elif it.durable:
+            result[it.name] = "durable voter"
+        else:
+            result[it.name] = "voter" if it.name in group["voters"] else "other"
+    return result
+
+
+def window(running, seconds):
+    """Per instance: sent and received bytes/s, heartbeats included, frames/s without them, cores, resident bytes."""
+    before = {it.name: sample(running, it) for it in running.instances}
+    cpu_before = {it.name: common.processor_seconds(it.process.pid) for it in running.instances}
+    began = time.monotonic()
+    time.sleep(seconds)
+    took = time.monotonic() - began
+    result = {}
+    for it in running.instances:
+        a, b = before[it.name], sample(running, it)
+        rate = lambda name, *tags, a=a, b=b: (total(b, name, *tags) - total(a, name, *tags)) / took
+        frames = rate("kingcupseam_control_frames_received_total")
+        frame_bytes = rate("kingcupseam_control_frame_bytes_received_total")
+        received = rate("kingcupseam_control_bytes", 'direction="received"')
+        result[it.name] = {
+            "sent": rate("kingcupseam_control_bytes", 'direction="sent"'),
+            "received": received,
+            "other_received": received - frame_bytes - rate("kingcupseam_control_bytes", 'channel="datagrams"',
+                                                            'direction="received"'),
+            "frames": frames, "frame_bytes": frame_bytes,
+            "datagrams": rate("kingcupseam_control_datagrams_received_total"),
+            "control_core": rate("kingcupseam_control_processor_microseconds") / 1e6,
+            "process_core": (common.processor_seconds(it.process.pid) - cpu_before[it.name]) / took,
+            "resident": total(b, "kingcupseam_resident_bytes"),
+            "types": {tags: (value - a.get((name, tags), 0)) / took for (name, tags), value in b.items()
+                      if name == "kingcupseam_control_frame_bytes_received_total"},
+        }
+    return result
+
+
+def rows_of(size, upstreams, state, role_of, measured):
+    for role in sorted(set(role_of.values())):
+        members = [measured[name] for name, it in role_of.items() if it == role]
+        mean = lambda key, members=members: sum(it[key] for it in members) / len(members)
+        yield [size, upstreams, state, role, len(members), f"{mean('sent'):.0f}", f"{mean('received'):.0f}",
+               f"{mean('frame_bytes'):.0f}", f"{mean('other_received'):.0f}", f"{mean('frames'):.1f}",
+               f"{mean('datagrams'):.1f}", f"{100 * mean('control_core'):.2f}%", f"{100 * mean('process_core'):.2f}%",
+               f"{mean('resident') / 1e6:.1f}", f"{common.load_average():.0f}"]
+
+
+def slope(points):
+    """Least squares line: returns (value at 0, increase per unit)."""
+    n = len(points)
+    mx = sum(x for x, _ in points) / n
+    my = sum(y for _, y in points) / n
+    rise = sum((x - mx) * (y - my) for x, y in points) / sum((x - mx) ** 2 for x, _ in points)
+    return my - rise * mx, rise
+
+
+def run(options):
+    rows, points, types = [], {}, []
+    for text in options.sizes.split(";"):
+        size = tuple(int(it) for it in text.split(","))
+        instances = sum(size)
+        upstreams = options.upstreams_per_instance * instances
+        services = (("registry", upstreams - max(3, upstreams // 6), 2, 120), ("repack", max(3, upstreams // 6), 2, 120))
+        with common.started_cluster(network=3, firm="navalsig", per_data_center=size, services=services) as running:
+            time.sleep(3)
+            role_of = roles(running)
+            for state in ("idle", "loaded"):
+                load = None
+                if state == "loaded":
+                    load = common.start_load(running, "--rate", options.rate_per_instance * instances, "--duration",
+                                             options.seconds + 4)
+                    time.sleep(2)
+                measured = window(running, options.seconds)
+                if load:
+                    common.finish_load(load, 60)
+                rows += rows_of(instances, upstreams, state, role_of, measured)
+                merged = {}
+                for it in measured.values():
+                    for tags, value in it["types"].items():
+                        merged[tags] = merged.get(tags, 0) + value / instances
+                types.append([instances, state, ", ".join(f"{key} {value:.0f}" for key, value in sorted(merged.items()))])
+                for role in ("leader", "other than leader"):
+                    members = [measured[name] for name, it in role_of.items() if it.startswith("leader") == (role == "leader")]
+                    for key in ("sent", "received", "frames", "control_core", "resident"):
+                        mean = sum(it[key] for it in members) / max(1, len(members))
+                        if members:
+                            points.setdefault((state, role, key), []).append((instances, mean))
+    common.print_table(["instances", "upstreams", "state", "role", "number", "sent B/s", "received B/s",
+                        "of which frames B/s", "heartbeats and replies B/s", "frames/s", "datagrams/s",
+                        "control thread", "process", "resident MB", "load average"], rows)
+    common.print_table(["instances", "state", "mean bytes/s received per instance, by frame type"], types)
+    fits = []
+    for (state, role, key), its in points.items():
+        base, rise = slope(its)
+        fits.append([state, role, key, f"{base:.4g}", f"{rise:.4g}"])
+    common.print_table(["state", "role", "quantity", "at 0 instances", "per instance of the system"], fits)
+    over = [row for row in rows if int(row[5]) + int(row[6]) > LIMIT_BYTES or float(row[11][:-1]) > 100 * LIMIT_CORE]
+    print(f"{len(over)} of {len(rows)} rows exceed {LIMIT_BYTES} B/s sent and received or {LIMIT_CORE:.1%} of a core")
+    return 0
--- /dev/null
+++ b/tools/measure_instance.py
@@ -0,0 +1,42 @@
+"""Measures the requests per second and core of one instance that is both entry and gate, with several upstreams whose
+service time is so short that they do not limit it. Lookups only: at-most-once work needs three ledger replicas."""
+
+import measure_common as common
+
+
+def add_options(parser):
+    parser.add_argument("--rates", default="1000,2000,4000,8000", help="offered requests/s, with commas")
+    parser.add_argument("--seconds", type=float, default=6)
+    parser.add_argument("--upstreams", type=int, default=12)
+    parser.add_argument("--instances", default="1", help="instances in each data centre, with commas")
+
+
+def run(options):
+    sizes = tuple(int(it) for it in options.instances.split(","))
+    services = (("registry", options.upstreams, 16, 120), ("repack", 1, 2, 120))
+    rows = []
+    with common.started_cluster(network=4, firm="navalsig", per_data_center=sizes, services=services,
+                                service_time_ms=0.5) as running:
+        for text in options.rates.split(","):
+            processes = common.instance_processes(running)
+            load = common.start_load(running, "--rank-rate", f"urgent:{text}", "--rank-rate", "standard:0",
+                                     "--rank-rate", "deferrable:0", "--duration", options.seconds)
+            processes["load"] = load
+            processes["registry-1"] = running.upstreams["registry-1"]
+            use = common.ProcessorUse(processes)
+            try:
+                load.wait(0.9 * options.seconds)
+            except common.subprocess.TimeoutExpired:
+                pass
+            use.stop()
+            it = common.finish_load(load, 60)["ranks"]["urgent"]
+            served = it["answered"] / options.seconds
+            instances = sum(use.cores[name] for name in common.instance_processes(running))
+            rows.append([text, f"{served:.0f}", f"{100 * it['service']:.1f}%", it["latency_ms"]["p50"],
+                         it["latency_ms"]["p99"], f"{instances:.2f}", f"{served / max(instances, 0.01):.0f}",
+                         f"{use.cores['load']:.2f}", f"{use.cores['registry-1']:.2f}", f"{use.machine:.1f}",
+                         str(it["not_run"] or ""), f"{common.load_average():.0f}"])
+    common.print_table(["offered/s", "served/s", "service", "p50 ms", "p99 ms", "cores of the instances",
+                        "served/s and core", "cores of load", "cores of one upstream", "cores of the machine",
+                        "refused", "load average"], rows)
+    return 0
--- /dev/null
+++ b/tools/measure_outage.py
@@ -0,0 +1,180 @@
+"""Measures the time until keys are served again after a loss, on 10 instances with 36 upstreams. Lookups and bookings are
+sent every 20 ms to keys that the lost part served, through instances that stay. Exits with 1 when a repetition exceeds
+the bound or a key was not served again."""
+
+import asyncio
+import json
+import random
+import time
+import uuid
+
+import cluster
+import measure_common as common
+
+SPACING_S = 0.02
+KEYS_PER_PROBE = 4
+# All probes together use a fifth of the 2 slots of one upstream: a probe that waits for a slot would count as an outage.
+SERVICE_TIME_MS = 1
+PATHS = {"lookup": ("GET", "/registry/rafts/{}/history"), "booking": ("POST", "/registry/rafts/{}/bookings")}
+KINDS = ("upstream", "gate", "leader", "gate and leader")
+
+
+def add_options(parser):
+    parser.add_argument("--repetitions", type=int, default=5)
+    parser.add_argument("--bound-ms", type=float, default=1000)
+    parser.add_argument("--after", type=float, default=3, help="seconds of probing after the loss")
+    parser.add_argument("--seed", type=int, default=1, help="seed of the choice of victims")
+    parser.add_argument("--kinds", default=",".join(KINDS))
+
+
+async def call(address, kind, key):
+    """One request on its own connection; returns (served, what was seen, upstream)."""
+    method, path = PATHS[kind]
+    ip, port = address.split(":")
+    head = [f"{method} {path.format(key)} HTTP/1.1", f"Host: {address}", "Connection: close",
+            f"Idempotency-Key: {uuid.uuid4()}"]
+    if method == "POST":
+        head += ["Content-Length: 1", "Content-Type: application/octet-stream"]
+    writer = None
+    try:
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(("\r\n".join(head) + "\r\n\r\n" + ("b" if method == "POST" else "")).encode())
+        data = await asyncio.wait_for(reader.read(-1), 4)
+    except (OSError, asyncio.TimeoutError) as e:
+        return False, type(e).__name__, None
+    finally:
+        if writer is not None:
+            writer.close()
+    header, _, body = data.decode(errors="replace").partition("\r\n\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in header.split("\r\n")[1:] if ": " in line)
+    if headers.get("kingcupseam-outcome") != "ran":
+        return False, headers.get("kingcupseam-reason", header.split("\r\n", maxsplit=1)[0]), None
+    return True, "ran", json.loads(body)["upstream"]
+
+
+async def owners_of(address, keys):
+    found = await asyncio.gather(*[call(address, "lookup", it) for it in keys])
+    return {key: it[2] for key, it in zip(keys, found) if it[0]}
+
+
+class Probes:
+    """Sends to each key every 20 ms and keeps (sent, completed, served, seen) in seconds of the monotonic clock."""
+
+    def __init__(self, addresses, keys):
+        self.addresses = addresses
+        self.seen = {(kind, key): [] for kind in PATHS for key in keys}
+        self.tasks = set()
+
+    async def probe(self, kind, key, address):
+        sent = time.monotonic()
+        served, seen, _ = await call(address, kind, key)
+        self.seen[kind, key].append((sent, time.monotonic(), served, seen))
+
+    async def send_until(self, end):
+        next_at = time.monotonic()
+        n = 0
+        while next_at < end:
+            for kind, key in self.seen:
+                task = asyncio.create_task(self.probe(kind, key, self.addresses[n % len(self.addresses)]))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+                n += 1
+            next_at += SPACING_S
+            await asyncio.sleep(max(0, next_at - time.monotonic()))
+        await asyncio.gather(*self.tasks)
+
+
+def served_again(probes, lost_at):
+    """Time from the loss to the answer of the first served probe that was sent after the last failed one, in ms, or to
+    the latest answer to a probe of the first second when none failed. None: not served again."""
+    after = [it for it in probes if it[1] > lost_at]
+    failed = [it[0] for it in after if not it[2]]
+    if not failed:
+        waited = [it[1] - max(it[0], lost_at) for it in after if it[0] < lost_at + 1]
+        return max(waited) * 1000
+    served = [it[1] for it in after if it[2] and it[0] > max(failed)]
+    return (min(served) - lost_at) * 1000 if served else None
+
+
+def view(running, name="a1"):
+    return running.status(next(it for it in running.instances if it.name == name))
+
+
+def leader_of(running, data_center):
+    """Name of the leader and of the voters of the data centre's group."""
+    for it in running.instances:
+        if it.data_center == data_center and it.process is not None:
+            group = running.status(it).get("data_center_group")
+            if group and group["leads"]:
+                return it.name, group["voters"]
+    raise RuntimeError("no leader in " + data_center)
+
+
+def choose_victims(running, kind, owners, rng):
+    """Returns names of instances to kill, name of the upstream to kill, and the upstreams whose keys are probed."""
+    leader, voters = leader_of(running, "north")
+    table = next(it for it in view(running)["data_centers"] if it["data_center"] == "north")
+    owning = set(owners.values())
+    gate_of = {it["name"]: it["gate"] for it in table["upstreams"] if it["name"] in owning}
+    if kind == "upstream":
+        lost = rng.choice(sorted(gate_of))
+        return [], lost, {lost}
+    if kind == "leader":
+        return [leader], None, {up for up, gate in gate_of.items() if gate == leader} or set(gate_of)
+    others = sorted({gate for gate in gate_of.values() if gate != leader})
+    # The loss of two of three voters at once is outside of what a data centre's group tolerates.
+    spare = [it for it in others if it not in voters]
+    gate = rng.choice(spare if kind == "gate and leader" and spare else others)
+    lost = [gate] if kind == "gate" else [gate, leader]
+    return lost, None, {up for up, its_gate in gate_of.items() if its_gate in lost}
+
+
+async def repetition(running, kind, options, rng):
+    entry = next(it for it in running.instances if it.data_center == "east")
+    owners = await owners_of(entry.caller, [f"key-{n}" for n in range(240)])
+    lost_instances, lost_upstream, probed = choose_victims(running, kind, owners, rng)
+    keys = [key for key, up in owners.items() if up in probed]
+    keys = rng.sample(keys, min(KEYS_PER_PROBE, len(keys)))
+    addresses = [it.caller for it in running.instances if it.name not in lost_instances]
+    probes = Probes(addresses, keys)
+    sending = asyncio.create_task(probes.send_until(time.monotonic() + 0.5 + options.after))
+    await asyncio.sleep(0.5)
+    lost_at = time.monotonic()
+    for it in running.instances:
+        if it.name in lost_instances:
+            running.kill_instance(it)
+    if lost_upstream:
+        running.kill_upstream(lost_upstream)
+    await sending
+    result = {}
+    seen = {}
+    for kind_of_work in PATHS:
+        times = [served_again(it, lost_at) for (work, _), it in probes.seen.items() if work == kind_of_work]
+        result[kind_of_work] = None if None in times or not times else max(times)
+        for (work, _), it in probes.seen.items():
+            for _, completed, served, what in it:
+                if work == kind_of_work and not served and completed > lost_at:
+                    seen[f"{work} {what}"] = seen.get(f"{work} {what}", 0) + 1
+    victims = lost_instances + ([lost_upstream] if lost_upstream else [])
+    return victims, len(keys), result, seen
+
+
+def run(options):
+    rng = random.Random(options.seed)
+    rows = []
+    missed = 0
+    for kind in options.kinds.split(","):
+        for n in range(options.repetitions):
+            load = common.load_average()
+            with common.started_cluster(network=2, firm="navalsig", service_time_ms=SERVICE_TIME_MS) as running:
+                victims, keys, result, seen = asyncio.run(repetition(running, kind, options, rng))
+            over = any(it is None or it > options.bound_ms for it in result.values())
+            missed += over
+            times = [f"{it:.0f}" if it is not None else "not served again" for it in result.values()]
+            rows.append([kind, n + 1, " + ".join(victims), keys, *times, "missed" if over else "met",
+                         ", ".join(f"{key} {count}" for key, count in sorted(seen.items())) or "none",
+                         f"{load:.0f}"])
+    common.print_table(["lost", "run", "victims", "keys", "lookups served after ms", "bookings served after ms",
+                        f"bound {options.bound_ms:.0f} ms", "failed probes", "load average"], rows)
+    print(f"{missed} of {len(rows)} repetitions missed the bound of {options.bound_ms:.0f} ms")
+    return 1 if missed else 0
--- /dev/null
+++ b/tools/measure_routing.py
@@ -0,0 +1,115 @@
+"""Compares the gate with direct dispatch: the same load and seeds on both, at 80% and 160% of capacity, with a flood of
+the urgent rank, and the time that the added hop costs at low load."""
+
+import statistics
+
+import cluster
+import measure_common as common
+
+# Times that keep the rates low enough for the machine not to be what limits the load, and well below the deadline of
+# 250 ms of urgent work.
+SERVICE_TIME_MS = {"navalsig": 50, "cairnmark": 100}
+RANKS = ("urgent", "standard", "deferrable")
+# Two-sided 95% quantiles of Student's t distribution, by the number of repetitions.
+STUDENT_T = {2: 12.706, 3: 4.303, 4: 3.182, 5: 2.776, 6: 2.571, 7: 2.447, 8: 2.365}
+
+
+def add_options(parser):
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--seconds", type=float, default=9, help="duration of one run")
+    parser.add_argument("--warmup", type=float, default=2)
+    parser.add_argument("--firms", default="navalsig,cairnmark")
+    parser.add_argument("--hop-repetitions", type=int, default=4)
+    parser.add_argument("--only", choices=("load", "hop"), help="run one of the two parts")
+
+
+def capacities(firm):
+    return [count * slots * 1000 / SERVICE_TIME_MS[firm] for _, count, slots, _ in cluster.FIRMS[firm]["services"]]
+
+
+def loads(firm):
+    """Rates per rank. Urgent and standard work share the first service, with 4 : 3 of 7 parts as in a mix of 40:30:30;
+    deferrable work has the second one to itself."""
+    first, second = capacities(firm)
+    result = {f"{round(level * 100)}%": (level * first * 4 / 7, level * first * 3 / 7, level * second)
+              for level in (0.8, 1.6)}
+    result["urgent flood"] = (1.6 * first, 0.3 * first, 0.8 * second)
+    return result
+
+
+def measure_load(running, rates, seed, options):
+    words = []
+    for rank, rate in zip(RANKS, rates):
+        words += ["--rank-rate", f"{rank}:{rate:.1f}"]
+    use = common.ProcessorUse(common.instance_processes(running))
+    load = common.start_load(running, *words, "--duration", options.seconds, "--warmup", options.warmup,
+                             "--seed", seed)
+    report = common.finish_load(load, options.seconds + 60)
+    return report, use.stop()
+
+
+def load_rows(firm, routing, options):
+    with common.started_cluster(firm=firm, routing=routing, service_time_ms=SERVICE_TIME_MS[firm]) as running:
+        for seed in range(1, options.seeds + 1):
+            for name, rates in loads(firm).items():
+                report, use = measure_load(running, rates, seed, options)
+                row = [firm, routing, name, seed]
+                for rank in RANKS:
+                    it = report["ranks"][rank]
+                    row.append(f"{100 * it['service']:.1f}%")
+                for rank in RANKS:
+                    latency = report["ranks"][rank]["latency_ms"]
+                    row.append(f"{latency['p50']:.0f} / {latency['p99']:.0f}")
+                reasons = {}
+                for rank in RANKS:
+                    it = report["ranks"][rank]
+                    for reason, n in (it["not_run"] or {}).items():
+                        reasons[f"{rank} {reason}"] = n
+                    for what in ("unknown", "lost", "errors"):
+                        if it[what]:
+                            reasons[f"{rank} {what}"] = it[what]
+                row.append(", ".join(f"{key} {n}" for key, n in sorted(reasons.items())) or "none")
+                row.append(f"{sum(use.cores.values()):.2f} / {max(use.cores.values()):.2f} / {use.machine:.1f}")
+                row.append(f"{common.load_average():.0f}")
+                yield row
+
+
+def interval(values):
+    spread = STUDENT_T[len(values)] * statistics.stdev(values) / len(values) ** 0.5
+    return f"{statistics.mean(values):.0f} ± {spread:.0f}"
+
+
+def hop_rows(options):
+    """Runs of both variants alternate on two clusters that exist at the same time, so that a disturbance of the machine
+    meets both."""
+    medians = {"gate": [], "direct": []}
+    settings = {"firm": "navalsig", "service_time_ms": 1}
+    with common.started_cluster(routing="gate", **settings) as gate, \
+            common.started_cluster(network=1, routing="direct", **settings) as direct:
+        for n in range(options.hop_repetitions):
+            for routing, running in (("gate", gate), ("direct", direct)):
+                load = common.start_load(running, "--rank-rate", "urgent:150", "--rank-rate", "standard:0",
+                                         "--rank-rate", "deferrable:0", "--duration", 6, "--warmup", 1,
+                                         "--seed", n + 1)
+                report = common.finish_load(load, 60)
+                it = report["ranks"]["urgent"]
+                medians[routing].append(it["latency_ms"]["p50"] * 1000)
+    added = [a - b for a, b in zip(medians["gate"], medians["direct"])]
+    for name, values in (("gate", medians["gate"]), ("direct", medians["direct"]), ("difference", added)):
+        yield [name, ", ".join(f"{it:.0f}" for it in values), interval(values), f"{common.load_average():.0f}"]
+
+
+def run(options):
+    columns = ["firm", "routing", "load", "seed"] + [f"{rank} served" for rank in RANKS]
+    columns += [f"{rank} p50 / p99 ms" for rank in RANKS]
+    columns += ["refused or failed", "cores: instances / busiest / machine", "load average"]
+    if options.only != "hop":
+        rows = []
+        for firm in options.firms.split(","):
+            for routing in ("gate", "direct"):
+                rows += list(load_rows(firm, routing, options))
+        common.print_table(columns, rows)
+    if options.only != "load":
+        common.print_table(["routing", "median urgent latency of each run, µs", "mean and 95% interval, µs",
+                            "load average"], list(hop_rows(options)))
+    return 0
