--- a/tools/measure_outage.py
+++ b/tools/measure_outage.py
@@ -173,7 +173,8 @@
                 victims, keys, result, seen = asyncio.run(repetition(running, kind, options, rng))
             over = any(it is None or it > options.bound_ms for it in result.values())
             overs.append(over)
-            times = [f"{it:.0f}" if it is not None else "not served again" for it in result.values()]
+            unserved = "not served again" if keys else "no key was served before the loss"
+            times = [f"{it:.0f}" if it is not None else unserved for it in result.values()]
             yield [kind, n + 1, " + ".join(victims), keys, *times, "missed" if over else "met",
                    ", ".join(f"{key} {count}" for key, count in sorted(seen.items())) or "none",
                    f"{load:.0f}"]
--- a/tools/measure_routing.py
+++ b/tools/measure_routing.py
@@ -22,6 +22,7 @@
     parser.add_argument("--warmup", type=float, default=2)
     parser.add_argument("--firms", default="navalsig,cairnmark")
     parser.add_argument("--loads", default="80%,160%,urgent flood")
+    parser.add_argument("--routings", default="gate,direct")
     parser.add_argument("--hop-repetitions", type=int, default=4)
     parser.add_argument("--only", choices=("load", "hop"), help="run one of the two parts")
 
@@ -115,8 +116,8 @@
     columns += [f"{rank} p50 / p99 ms" for rank in RANKS]
     columns += ["refused or failed", "cores: instances / busiest / machine", "load average"]
     if options.only != "hop":
-        common.print_table(columns, (row for firm in options.firms.split(",") for routing in ("gate", "direct")
-                                     for row in load_rows(firm, routing, options)))
+        variants = [(firm, it) for firm in options.firms.split(",") for it in options.routings.split(",")]
+        common.print_table(columns, (row for firm, it in variants for row in load_rows(firm, it, options)))
     if options.only != "load":
         common.print_table(["routing", "median urgent latency of each run, µs", "mean and 95% interval, µs",
                             "load average"], list(hop_rows(options)))
