--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -69,7 +69,8 @@
             for i in range(count):
                 name = f"{'abc'[n]}{i + 1}"
                 port = base_port + PORTS_PER_INSTANCE * i
-                self.instances.append(Instance(name, "north east south".split()[n], f"127.{network}.{n + 1}.1", port, i == 0))
+                self.instances.append(Instance(name, "north east south".split()[n], f"127.{network}.{n + 1}.1", port,
+                                               i == 0))
         shutil.rmtree(run_folder, ignore_errors=True)
         os.makedirs(self.records)
 
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -1,5 +1,5 @@
-"""Measures the control traffic, the processor time of the control thread and the memory of each instance, idle and under
-load, at several sizes, and fits slopes."""
+"""Measures the control traffic, the processor time of the control thread and the memory of each instance, idle and
+under load, at several sizes, and fits slopes."""
 
 import re
 import time
@@ -101,7 +101,8 @@
         size = tuple(int(it) for it in text.split(","))
         instances = sum(size)
         upstreams = options.upstreams_per_instance * instances
-        services = (("registry", upstreams - max(3, upstreams // 6), 2, 120), ("repack", max(3, upstreams // 6), 2, 120))
+        second = max(3, upstreams // 6)
+        services = (("registry", upstreams - second, 2, 120), ("repack", second, 2, 120))
         with common.started_cluster(network=3, firm="navalsig", per_data_center=size, services=services) as running:
             time.sleep(3)
             role_of = roles(running)
@@ -119,9 +120,11 @@
                 for it in measured.values():
                     for tags, value in it["types"].items():
                         merged[tags] = merged.get(tags, 0) + value / instances
-                types.append([instances, state, ", ".join(f"{key} {value:.0f}" for key, value in sorted(merged.items()))])
+                by_type = ", ".join(f"{key} {value:.0f}" for key, value in sorted(merged.items()))
+                types.append([instances, state, by_type])
                 for role in ("leader", "other than leader"):
-                    members = [measured[name] for name, it in role_of.items() if it.startswith("leader") == (role == "leader")]
+                    members = [measured[name] for name, it in role_of.items()
+                               if it.startswith("leader") == (role == "leader")]
                     for key in ("sent", "received", "frames", "control_core", "resident"):
                         mean = sum(it[key] for it in members) / max(1, len(members))
                         if members:
--- a/tools/measure_outage.py
+++ b/tools/measure_outage.py
@@ -1,6 +1,7 @@
-"""Measures the time until keys are served again after a loss, on 10 instances with 36 upstreams. Lookups and bookings are
-sent every 20 ms to keys that the lost part served, through instances that stay. Exits with 1 when a repetition exceeds
-the bound or a key was not served again."""
+"""Measures the time until keys are served again after a loss, on 10 instances with 36 upstreams. Lookups and bookings
+are sent every 20 ms to keys that the lost part served, through instances that stay. Exits with 1 when a repetition
+exceeds the bound or a key was not served again. The loss of a whole data centre is not measured: its homes move only
+after the home hold."""
 
 import asyncio
 import json
@@ -13,7 +14,7 @@
 
 SPACING_S = 0.02
 KEYS_PER_PROBE = 4
-# All probes together use a fifth of the 2 slots of one upstream: a probe that waits for a slot would count as an outage.
+# All probes together use a fifth of the 2 slots of one upstream: a probe that waits for a slot would count as outage.
 SERVICE_TIME_MS = 1
 PATHS = {"lookup": ("GET", "/registry/rafts/{}/history"), "booking": ("POST", "/registry/rafts/{}/bookings")}
 KINDS = ("upstream", "gate", "leader", "gate and leader")
