--- /dev/null
+++ b/tests/process/control_cluster_test.cpp
@@ -0,0 +1,15 @@
+#include "support/process_cluster.h"
+
+using namespace kingcupseam;
+using namespace kingcupseam::test;
+
+// Guards against a cluster that does not form, or does not serve from every entry.
+TEST_CASE("a small cluster forms and serves from every instance") {
+    process_cluster cluster;
+    cluster.start();
+    for (const auto& it : cluster.instances()) {
+        CHECK(cluster.lookup(it, "k1", std::chrono::seconds(1)).ran());
+        CHECK(cluster.book(it, "k1", "id-" + it.name).ran());
+    }
+    CHECK(cluster.judge().at("runs") == 6);
+}
