Replace lost global voters by spare instances with a disk

Cause: the leader of the global group offered no spares to the replacement policy, so a voter that was lost, or came back without its disk, was never replaced, and the next loss ended the group. An instance with a disk that was no initial voter also never learned the leader.

Change: while a voter is missing, the leader asks the instances for the identity of their disk every 300 ms and offers those that answered within 1 s, former voters first. Instances that are no members learn the leader from state replies. Ruled out: a permanent poll, which costs one message for each of 540 instances.

--- a/src/app/instance/global_leader.cpp
+++ b/src/app/instance/global_leader.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t data_center_voters = 3;
 constexpr duration report_lifetime = std::chrono::seconds(1);
+// Instances are asked for disks only while a voter is missing.
+constexpr duration disk_poll_interval = std::chrono::milliseconds(300);
 // Longer than a gate lease (600 ms) with its drift margin: every lease of the former generation has ended.
 constexpr duration reformation_wait = std::chrono::milliseconds(1200);
 // Gives all data centres time to register their upstreams before shards are spread over them.
@@ -158,11 +160,65 @@
     }
 }
 
+bool global_tier::voter_missing(const consensus::replacement_view& view, std::size_t wanted,
+                                time_point now) const {
+    const auto heard = std::count_if(view.statuses.begin(), view.statuses.end(), [&](const auto& it) {
+        const auto& voters = view.members.voters;
+        return now - it.last_contact < report_lifetime &&
+               std::find(voters.begin(), voters.end(), it.member) != voters.end();
+    });
+    return static_cast<std::size_t>(heard) < wanted;
+}
+
+void global_tier::ask_for_disks(time_point now) {
+    if (now < next_durable_poll_) {
+        return;
+    }
+    next_durable_poll_ = now + disk_poll_interval;
+    for (const auto& [name, it] : shared_.instances) {
+        wire::VoterStatusRequest request;
+        request.sender = shared_.settings.name;
+        shared_.link_to(name)->request(
+            {transport::frame_type::voter_status_request, 0, transport::encode(request)}, disk_poll_interval,
+            [this, name = name](const transport::reply& reply) {
+                if (!reply.answer) {
+                    return;
+                }
+                const auto status = transport::decode<wire::VoterStatusReply>(reply.answer->payload);
+                if (status.identity != 0) {
+                    durable_[name] = {{name, static_cast<std::uint64_t>(status.identity)}, steady_now()};
+                }
+            });
+    }
+}
+
+std::vector<consensus::member_id> global_tier::durable_spares(time_point now) const {
+    // The name of a voter with another identity has lost its disk; it takes its own place again first.
+    const auto& voters = group_->node().members().voters;
+    const auto former = [&](const consensus::member_id& id) {
+        return std::any_of(voters.begin(), voters.end(), [&](const auto& it) { return it.name == id.name; });
+    };
+    std::vector<consensus::member_id> spares;
+    for (const auto& [name, it] : durable_) {
+        if (now - it.second < report_lifetime) {
+            spares.push_back(it.first);
+        }
+    }
+    std::stable_partition(spares.begin(), spares.end(), former);
+    return spares;
+}
+
 void global_tier::replace_voters(time_point now) {
     consensus::replacement_options options;
     options.voters = std::max<std::size_t>(1, shared_.settings.global_voters.size());
-    const auto view = consensus::replacement_view_of(group_->node(), group_->self(), {}, now);
+    auto view = consensus::replacement_view_of(group_->node(), group_->self(), {}, now);
+    if (voter_missing(view, options.voters, now)) {
+        ask_for_disks(now);
+        view.spares = durable_spares(now);
+    }
     if (const auto change = consensus::replacement_policy(options).next(view, now)) {
+        spdlog::info("changing global voters member={} change={}", change->member.name,
+                     static_cast<int>(change->kind));
         group_->change(*change);
     }
 }
--- a/src/app/instance/global_tier.cpp
+++ b/src/app/instance/global_tier.cpp
@@ -148,7 +148,9 @@
     for (const auto& it : reply.instances) {
         shared_.learn(from_wire(it));
     }
-    if (!reply.leader.empty() && !group_) {
+    // A spare with a disk has a group, but is told of the leader only once it is a member.
+    const bool told = group_ && group_->node().leader().has_value();
+    if (!reply.leader.empty() && !told) {
         leader_ = reply.leader;
     }
     if (!reply.state.empty() && reply.version > known_.version) {
--- a/src/app/instance/global_tier.h
+++ b/src/app/instance/global_tier.h
@@ -7,8 +7,9 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace kingcupseam::app {
 
@@ -56,6 +57,9 @@
     std::optional<wire::GroupFormation> formation_for(const std::string& data_center, time_point now) const;
     void plan_homes(time_point now);
     void replace_voters(time_point now);
+    bool voter_missing(const consensus::replacement_view& view, std::size_t wanted, time_point now) const;
+    void ask_for_disks(time_point now);
+    std::vector<consensus::member_id> durable_spares(time_point now) const;
     void publish();
     void note_ungrouped(const wire::StateRequest& request, time_point now);
 
@@ -69,7 +73,9 @@
         empty_voters_; ///< identities of initial voters that reported an empty folder
     std::map<std::string, ungrouped_report> ungrouped_;
     std::map<std::string, time_point> service_first_seen_;
-    std::set<std::string> durable_spares_;
+    std::map<std::string, std::pair<consensus::member_id, time_point>>
+        durable_; ///< instances that reported a disk, and when
+    time_point next_durable_poll_;
     time_point started_;
     time_point next_lead_;
     time_point next_voter_poll_;
