Answer proposals whose log index or group was replaced

Cause: a proposal at an index that still had a waiting one of an earlier term overwrote its callback, and a group that was replaced by the next generation dropped all of them. A dropped callback would leave formation_in_progress_ and mirroring_ set for good, and operators and upstreams without answer.

Change: both give the empty result. Found by reading; no test of the processes shows it.

--- a/src/app/instance/data_center_tier.cpp
+++ b/src/app/instance/data_center_tier.cpp
@@ -56,6 +56,9 @@
     }
     leader_.clear();
     was_leader_ = false;
+    if (group_) {
+        group_->abandon_proposals();
+    }
     group_.reset();
     machine_ =
         std::make_unique<assignment_machine>(shared_.settings.data_center, generation_, formation.table);
--- a/src/app/instance/global_tier.cpp
+++ b/src/app/instance/global_tier.cpp
@@ -119,6 +119,7 @@
         members.voters.push_back({name, static_cast<std::uint64_t>(identity)});
     }
     spdlog::info("global group formed voters={}", members.voters.size());
+    group_->abandon_proposals();
     group_.reset(); // releases the data folder
     open_group(members);
 }
--- a/src/app/instance/replicated_group.cpp
+++ b/src/app/instance/replicated_group.cpp
@@ -1,5 +1,6 @@
 #include "app/instance/replicated_group.h"
 
+#include <utility>
 #include <vector>
 
 namespace kingcupseam::app {
@@ -43,7 +44,11 @@
     consensus::effects effects;
     try {
         const auto index = node_.propose(std::move(command), steady_now(), effects);
-        proposals_[index] = {node_.term(), steady_now(), std::move(done)};
+        // A proposal of an earlier term may still wait at this index: its entry was replaced.
+        const auto replaced = std::exchange(proposals_[index], {node_.term(), steady_now(), std::move(done)});
+        if (replaced.done) {
+            replaced.done(std::nullopt);
+        }
     } catch (const consensus::not_leader&) {
         done(std::nullopt);
         return;
@@ -105,6 +110,12 @@
     }
 }
 
+void replicated_group::abandon_proposals() {
+    for (const auto& [index, it] : std::exchange(proposals_, {})) {
+        it.done(std::nullopt);
+    }
+}
+
 void replicated_group::expire(time_point now) {
     std::vector<on_result> expired;
     std::erase_if(proposals_, [&](auto& it) {
--- a/src/app/instance/replicated_group.h
+++ b/src/app/instance/replicated_group.h
@@ -39,6 +39,8 @@
     void receive(const consensus::message& received);
     void tick();
     void propose(std::string command, on_result done);
+    /// Answers every waiting proposal with an empty result; to be called before the group is destroyed.
+    void abandon_proposals();
     /// @returns false when this member does not lead or the change is refused now
     bool change(const consensus::membership_change& wanted);
     /// True while this member leads and no other member can have been elected.
