Lead only after an entry of the own term is committed

Change: leads() also requires that the entry at the commit index is of the current term. Found by reading; control_profile_test.cpp guards the result but did not fail before the change.

--- a/src/app/instance/replicated_group.cpp
+++ b/src/app/instance/replicated_group.cpp
@@ -70,7 +70,10 @@
 }
 
 bool replicated_group::leads() const {
-    return node_.current_role() == consensus::role::leader && steady_now() < node_.leadership_valid_until();
+    // Until an entry of its own term is committed, a new leader does not know which older entries are, and
+    // its state machine may be behind.
+    return node_.current_role() == consensus::role::leader && steady_now() < node_.leadership_valid_until() &&
+           store_->term_at(node_.commit_index()) == node_.term();
 }
 
 void replicated_group::perform(consensus::effects effects) {
--- a/src/app/instance/replicated_group.h
+++ b/src/app/instance/replicated_group.h
@@ -43,7 +43,8 @@
     void abandon_proposals();
     /// @returns false when this member does not lead or the change is refused now
     bool change(const consensus::membership_change& wanted);
-    /// True while this member leads and no other member can have been elected.
+    /// True while this member leads, no other member can have been elected, and the state machine has every
+    /// entry that was committed before.
     bool leads() const;
     const consensus::node& node() const noexcept { return node_; }
     const consensus::member_id& self() const noexcept { return self_; }
