Find a new leader sooner and publish without a silent global group

Cause: after the loss of a leader, instances asked only the voters of the formation, one each 150 ms, and voters told the leader that last gave them a lease. The new leader's table waited up to 800 ms for a global leader that was lost as well, and a table published without a mirror was not mirrored until the next change.

Change: lease requests and announcements follow the leader that the group elected, retry after 25 ms and also ask other instances of the data centre; tables are published after 100 ms without an answer of the global group, and the mirror is repeated until it has caught up.

--- a/src/app/instance/data_center_leader.cpp
+++ b/src/app/instance/data_center_leader.cpp
@@ -19,6 +19,9 @@
 // Two renewals every 150 ms may be missed before another instance takes over the gates.
 constexpr duration instance_lost_after = std::chrono::milliseconds(400);
 constexpr duration mirror_retry = std::chrono::seconds(1);
+// Many round trips between data centres and syncs of a disk, and short enough for keys to be served again
+// within 1 s when the leader of the global group is lost together with an owner or a gate.
+constexpr duration mirror_wait = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -48,6 +51,8 @@
     proposed_homes_.clear();
     outstanding_ = 0;
     mirroring_ = 0;
+    mirrored_ = 0;
+    next_mirror_ = now;
     planner_ = ownership::make_fewest_moves_planner({});
 }
 
@@ -67,7 +72,7 @@
     wire::GateLeaseReply reply;
     reply.sequence = request.sequence;
     reply.generation = static_cast<std::int64_t>(generation_);
-    reply.leader = leader_;
+    reply.leader = known_leader();
     const auto info = from_wire(request.gate);
     shared_.learn(info);
     if (!leads() || static_cast<std::uint64_t>(request.generation) != generation_) {
@@ -236,7 +241,7 @@
 
 void data_center_tier::on_announce(const wire::Announce& announced, std::function<void(bool)> done) {
     if (!leads()) {
-        auto* const link = shared_.link_to(leader_);
+        auto* const link = shared_.link_to(known_leader());
         if (link == nullptr) {
             done(false);
             return;
@@ -291,30 +296,41 @@
     return 0;
 }
 
+bool data_center_tier::newer_than_published(const ownership::table& rows) const {
+    return !published_ || published_->generation != rows.generation || published_->version < rows.version;
+}
+
 void data_center_tier::mirror_and_publish(time_point now) {
     const auto rows = machine_->current();
-    const bool newer =
-        !published_ || published_->generation != rows->generation || published_->version < rows->version;
-    if (!newer || mirroring_ != 0) {
-        return;
+    if (mirroring_ == 0 && now >= next_mirror_ && mirrored_ < rows->version) {
+        start_mirror(rows, now);
     }
-    if (now < mirror_unreachable_until_) {
+    // Without an answer in time the data centre is cut off from the global group and goes on with its own
+    // group alone; the mirror is retried until it has caught up.
+    if (newer_than_published(*rows) && (mirroring_ == 0 || now - mirror_since_ > mirror_wait)) {
         publish(rows);
-        return;
     }
-    mirroring_ = rows->version;
+}
+
+void data_center_tier::start_mirror(const std::shared_ptr<const ownership::table>& rows, time_point now) {
+    mirroring_ = ++mirror_serial_;
+    mirror_since_ = now;
     wire::TableMirror mirror;
     mirror.data_center = shared_.settings.data_center;
     mirror.generation = static_cast<std::int64_t>(generation_);
     mirror.version = static_cast<std::int64_t>(rows->version);
     mirror.table = ownership::encode(*rows);
-    global_.propose(encode_mirror(mirror), [this, rows](const auto& result) {
+    global_.propose(encode_mirror(mirror), [this, rows, serial = mirroring_](const auto& result) {
+        if (mirroring_ != serial) {
+            return; // of an earlier leadership
+        }
         mirroring_ = 0;
         if (!result) {
-            // Cut off from the global group: the data centre goes on with its own group alone.
-            mirror_unreachable_until_ = steady_now() + mirror_retry;
+            next_mirror_ = steady_now() + mirror_retry;
+            return;
         }
-        if (leads() && rows->generation == generation_) {
+        mirrored_ = rows->version;
+        if (leads() && newer_than_published(*rows)) {
             publish(rows);
         }
     });
--- a/src/app/instance/data_center_tier.cpp
+++ b/src/app/instance/data_center_tier.cpp
@@ -10,6 +10,8 @@
 
 // Two renewals may be lost before instances count as ungrouped and ask the global group for a new generation.
 constexpr duration ungrouped_after = std::chrono::milliseconds(1500);
+// Finds the new leader within a few requests; a refused request costs less than a missed renewal.
+constexpr duration lease_retry = std::chrono::milliseconds(25);
 
 } // namespace
 
@@ -120,13 +122,25 @@
     if (leads()) {
         return shared_.settings.name;
     }
+    leader_ = known_leader();
     if (!leader_.empty() && (leader_ == shared_.settings.name || shared_.link_to(leader_) != nullptr)) {
         return leader_;
     }
-    if (voters_.empty()) {
-        return {};
+    // The voters of the formation may all have been replaced since.
+    auto candidates = voters_;
+    for (const auto& [name, it] : shared_.instances) {
+        if (it.data_center == shared_.settings.data_center &&
+            std::find(candidates.begin(), candidates.end(), name) == candidates.end()) {
+            candidates.push_back(name);
+        }
     }
-    return voters_[next_candidate_++ % voters_.size()];
+    return candidates.empty() ? "" : candidates[next_candidate_++ % candidates.size()];
+}
+
+std::string data_center_tier::known_leader() const {
+    // A voter hears of a new leader from the group itself, before any lease is granted.
+    const auto elected = group_ ? group_->node().leader() : std::nullopt;
+    return elected ? elected->name : leader_;
 }
 
 void data_center_tier::request_lease(time_point now) {
@@ -148,6 +162,7 @@
     auto* const link = shared_.link_to(target);
     if (link == nullptr) {
         leader_.clear();
+        next_lease_request_ = now + lease_retry;
         return;
     }
     link->request({transport::frame_type::gate_lease_request, 0, transport::encode(request)},
@@ -155,8 +170,11 @@
                       if (it.answer) {
                           on_lease_reply(target, transport::decode<wire::GateLeaseReply>(it.answer->payload),
                                          now);
-                      } else if (leader_ == target) {
-                          leader_.clear();
+                      } else {
+                          if (leader_ == target) {
+                              leader_.clear();
+                          }
+                          next_lease_request_ = std::min(next_lease_request_, steady_now() + lease_retry);
                       }
                   });
 }
@@ -168,6 +186,7 @@
     }
     if (!reply.granted) {
         leader_ = reply.leader == from ? "" : reply.leader;
+        next_lease_request_ = std::min(next_lease_request_, steady_now() + lease_retry);
         return;
     }
     leader_ = from;
--- a/src/app/instance/data_center_tier.h
+++ b/src/app/instance/data_center_tier.h
@@ -93,6 +93,8 @@
     void request_lease(time_point now);
     void on_lease_reply(const std::string& from, const wire::GateLeaseReply& reply, time_point sent);
     std::string lease_target();
+    /// Empty when none is known.
+    std::string known_leader() const;
 
     void lead(time_point now);
     void become_leader(time_point now);
@@ -105,6 +107,8 @@
     void plan_homes(const ownership::table& rows);
     void propose(const ownership::command& change);
     void mirror_and_publish(time_point now);
+    void start_mirror(const std::shared_ptr<const ownership::table>& rows, time_point now);
+    bool newer_than_published(const ownership::table& rows) const;
     void publish(std::shared_ptr<const ownership::table> rows);
     void push_table();
     void replace_voters(time_point now);
@@ -125,7 +129,8 @@
     time_point next_lease_request_;
     time_point next_plan_;
     time_point led_since_;
-    time_point mirror_unreachable_until_;
+    time_point next_mirror_;
+    time_point mirror_since_;
     std::int64_t lease_sequence_ = 0;
     std::shared_ptr<const ownership::table> published_;
     gate_report report_;
@@ -133,7 +138,9 @@
     std::map<std::string, upstream_contact> upstreams_;
     std::map<std::string, wire::ServiceHomes> proposed_homes_;
     std::size_t outstanding_ = 0; ///< proposals whose result is not known yet
-    std::uint64_t mirroring_ = 0; ///< version that is being mirrored; 0 when none
+    std::uint64_t mirror_serial_ = 0;
+    std::uint64_t mirroring_ = 0;          ///< serial number of the mirror in progress; 0 when none
+    ownership::epoch_number mirrored_ = 0; ///< version that the global group is known to hold
     bool was_leader_ = false;
     bool stopping_ = false;
 };
