--- a/src/app/instance/global_tier.cpp
+++ b/src/app/instance/global_tier.cpp
@@ -119,6 +119,7 @@
         members.voters.push_back({name, static_cast<std::uint64_t>(identity)});
     }
     spdlog::info("global group formed voters={}", members.voters.size());
+    group_->abandon_proposals();
     group_.reset(); // releases the data folder
     open_group(members);
 }
@@ -148,7 +149,9 @@
     for (const auto& it : reply.instances) {
         shared_.learn(from_wire(it));
     }
-    if (!reply.leader.empty() && !group_) {
+    // A spare with a disk has a group, but is told of the leader only once it is a member.
+    const bool told = group_ && group_->node().leader().has_value();
+    if (!reply.leader.empty() && !told) {
         leader_ = reply.leader;
     }
     if (!reply.state.empty() && reply.version > known_.version) {
