Read the ledger window before telling not-run for a refused at-most-once request

Cause: the queue's refusals (full, deadline, expiry, crash suspects, a key in use) and the entry's own refusals were answered not-run without looking at the ledger, although an earlier send of the same Idempotency-Key may have run. Change: ledger::writer::check() reports what the window says and records nothing; a sealed shard is a memory lookup. The gate answers with the recorded answer, unknown, or not-run from it. A gate claims not-run only while it owns the key and its lease has more than 205 ms left, because the leader may name the next gate 200 ms before the lease ends. Refusals as stale route claim nothing. An entry cannot read the window, so its own refusals of a request with an Idempotency-Key are unknown. Ruled out: a majority read for each refusal, which would cost a flood as much as a dispatch.

--- a/include/kingcupseam/ledger.h
+++ b/include/kingcupseam/ledger.h
@@ -142,6 +142,12 @@
     /// @returns messages to send; @p done is called once, possibly before this returns
     std::vector<outgoing> begin(const record& wanted, const std::vector<std::string>& replicas,
                                 const on_decision& done, time_point now);
+    /// Reports what the window says of a key without recording anything, for a request that is refused before
+    /// begin(). Seals and reads the shard first as begin() does; a sealed shard is only looked up in memory.
+    /// @param done called once, possibly before this returns, with `answer`, `in_doubt` (an attempt may run or
+    /// have run, or the window cannot be read), `conflict`, `stale`, or `unavailable`: the window shows no run
+    std::vector<outgoing> check(const record& wanted, const std::vector<std::string>& replicas,
+                                const on_decision& done, time_point now);
     /// Records the result of a dispatched request: `answered`, or `not_run` when the upstream confirmed that
     /// it did not start. Duplicates that wait get it at once; resends get it from the window. A result for a
     /// key that this writer did not dispatch is ignored.
--- a/src/app/instance/entry.cpp
+++ b/src/app/instance/entry.cpp
@@ -55,29 +55,37 @@
 }
 
 void entry::handle(const http_request& request, http_reply reply) {
+    // The entry cannot read the ledger, and an earlier send of the key may have run through another instance.
+    const auto key = request.header("Idempotency-Key");
+    const auto claim = key.empty() ? outcome::not_run : outcome::unknown;
+    const auto refuse = [&](refusal reason, duration retry_after = duration{0}) {
+        reply(refusal_answer(refusal_response(claim, reason, retry_after)));
+    };
     if (stopping_) {
-        reply(refusal_answer(not_run(refusal::shutting_down, std::chrono::seconds(1))));
+        refuse(refusal::shutting_down, std::chrono::seconds(1));
         return;
     }
     const auto view = views_.load();
     if (!view->rules || view->rules->empty()) {
-        reply(refusal_answer(not_run(refusal::no_profile, std::chrono::seconds(1))));
+        refuse(refusal::no_profile, std::chrono::seconds(1));
         return;
     }
     const auto matched = view->rules->find(request.method, request.path());
     if (!matched) {
-        reply(refusal_answer(not_run(refusal::no_rule)));
+        refuse(refusal::no_rule);
         return;
     }
     const bool at_most_once = matched->matched->runs == execution::at_most_once;
-    const auto key = request.header("Idempotency-Key");
     if (at_most_once && key.empty()) {
-        reply(refusal_answer(not_run(refusal::missing_idempotency_key)));
+        refuse(refusal::missing_idempotency_key);
+        return;
+    }
+    if (at_most_once && !valid_idempotency_key(key)) {
+        reply(refusal_answer(not_run(refusal::invalid_request))); // no instance accepts such a key
         return;
     }
-    if ((at_most_once && !valid_idempotency_key(key)) ||
-        request.body.size() > matched->matched->max_body_bytes) {
-        reply(refusal_answer(not_run(refusal::invalid_request)));
+    if (request.body.size() > matched->matched->max_body_bytes) {
+        refuse(refusal::invalid_request);
         return;
     }
     ++in_progress_;
@@ -108,7 +116,8 @@
 void entry::route(const call_ptr& it) {
     const time_point now = steady_now();
     if (now >= it->deadline) {
-        finish(it, not_run(it->attempts == 0 ? it->last_refusal : refusal::deadline));
+        const auto reason = it->attempts == 0 ? it->last_refusal : refusal::deadline;
+        finish(it, it->request.at_most_once ? unknown_outcome(reason) : not_run(reason));
         return;
     }
     const auto view = views_.load();
@@ -180,7 +189,12 @@
 
 void entry::on_response(const call_ptr& it, const wire::ForwardResponse& response) {
     if (worth_another_attempt(*it, response)) {
-        it->maybe_run = it->maybe_run || static_cast<outcome>(response.outcome) == outcome::unknown;
+        // A gate that lost its route did not and will not run at-most-once work; it only cannot tell whether
+        // another gate did, and the next gate reads that in the ledger.
+        const bool passed_on =
+            it->request.at_most_once && static_cast<refusal>(response.reason) == refusal::stale_route;
+        it->maybe_run =
+            it->maybe_run || (!passed_on && static_cast<outcome>(response.outcome) == outcome::unknown);
         it->last_refusal = static_cast<refusal>(response.reason);
         route_later(it);
         return;
--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -152,7 +152,9 @@
 void gate::submit(const wire::ForwardRequest& request, gate_reply reply) {
     auto* const target = find(request.upstream);
     if (target == nullptr) {
-        reply(not_run(refusal::stale_route));
+        // This instance cannot read the ledger of a key that it does not gate.
+        const auto claim = request.at_most_once ? outcome::unknown : outcome::not_run;
+        reply(refusal_response(claim, refusal::stale_route));
         return;
     }
     auto queued = std::make_shared<gate_request>();
--- a/src/app/instance/ledger_host.cpp
+++ b/src/app/instance/ledger_host.cpp
@@ -51,6 +51,10 @@
     send(writer_.begin(wanted, replicas_of(wanted.shard), done, steady_now()));
 }
 
+void ledger_host::check(const ledger::record& wanted, const ledger::writer::on_decision& done) {
+    send(writer_.check(wanted, replicas_of(wanted.shard), done, steady_now()));
+}
+
 void ledger_host::finish(const ledger::record& result) {
     send(writer_.finish(
         result, replicas_of(result.shard), [](bool) {}, steady_now()));
--- a/src/app/instance/ledger_host.h
+++ b/src/app/instance/ledger_host.h
@@ -17,6 +17,8 @@
     ledger_host(std::string self, peer_mesh& mesh, const view_holder& views);
 
     void begin(const ledger::record& wanted, const ledger::writer::on_decision& done);
+    /// Reports what the window says of a key; see ledger::writer::check().
+    void check(const ledger::record& wanted, const ledger::writer::on_decision& done);
     void finish(const ledger::record& result);
     void abandon(const std::string& service, std::uint32_t shard, const std::string& key);
     ledger::writer& writer() noexcept { return writer_; }
--- a/src/app/instance/upstream_dispatch.cpp
+++ b/src/app/instance/upstream_dispatch.cpp
@@ -73,7 +73,7 @@
         finish(request, not_run(refusal::stale_route));
         return;
     }
-    if (!request->wire.at_most_once || shared_.settings.routing == settings::routing_mode::direct) {
+    if (!uses_ledger(*request)) {
         send(request);
         return;
     }
@@ -110,14 +110,11 @@
         break;
     case ledger::verdict::conflict:
         release(request, std::nullopt);
-        finish(request, may_dispatch(now) ? not_run(refusal::invalid_request)
-                                          : unknown_outcome(refusal::invalid_request));
+        finish(request, not_run(refusal::invalid_request));
         break;
     case ledger::verdict::unavailable:
         release(request, std::nullopt);
-        // Once the gate's lease has ended another gate may have run the key.
-        finish(request, may_dispatch(now) ? not_run(refusal::ledger_unavailable, std::chrono::seconds(1))
-                                          : unknown_outcome(refusal::ledger_unavailable));
+        finish(request, not_run(refusal::ledger_unavailable, std::chrono::seconds(1)));
         break;
     case ledger::verdict::stale:
         // This gate will not run it, but the next gate may have.
@@ -128,6 +125,29 @@
     pump();
 }
 
+void upstream_gate::on_checked(const gate_request_ptr& request, const ledger::decision& found,
+                               const wire::ForwardResponse& refused) {
+    switch (found.result) {
+    case ledger::verdict::answer:
+        finish(request, recorded_answer(*found.known));
+        break;
+    case ledger::verdict::unavailable:
+        finish(request, refused);
+        break;
+    case ledger::verdict::conflict:
+        finish(request, not_run(refusal::invalid_request));
+        break;
+    case ledger::verdict::stale:
+        finish(request, unknown_outcome(refusal::stale_route));
+        break;
+    case ledger::verdict::in_doubt:
+    case ledger::verdict::dispatch:
+    case ledger::verdict::wait:
+        finish(request, unknown_outcome(found.known ? refusal::in_doubt : refusal::ledger_unavailable));
+        break;
+    }
+}
+
 http_call upstream_gate::make_call(gate_request& request, time_point now) {
     const duration left = request.deadline - now;
     const auto left_ms =
@@ -214,7 +234,7 @@
         }
     }
     const auto content_type = header_of(answer, "content-type");
-    if (request->wire.at_most_once && shared_.settings.routing == settings::routing_mode::gate) {
+    if (uses_ledger(*request)) {
         auto record = record_of(*request, ledger::record_state::answered);
         record.status = answer.status;
         if (content_type.size() + answer.body.size() < max_recorded_answer) {
@@ -274,9 +294,7 @@
 }
 
 void upstream_gate::on_surely_not_run(const gate_request_ptr& request, refusal reason, bool retry_wanted) {
-    const bool recorded =
-        request->wire.at_most_once && shared_.settings.routing == settings::routing_mode::gate;
-    if (recorded) {
+    if (uses_ledger(*request)) {
         shared_.ledger.finish(record_of(*request, ledger::record_state::not_run));
     }
     if (running_.count(request->ticket) != 0) {
@@ -290,7 +308,7 @@
 
 void upstream_gate::on_may_have_run(const gate_request_ptr& request, refusal reason) {
     if (request->wire.at_most_once) {
-        if (shared_.settings.routing == settings::routing_mode::gate) {
+        if (uses_ledger(*request)) {
             shared_.ledger.abandon(request->wire.service_name,
                                    static_cast<std::uint32_t>(request->wire.shard),
                                    request->wire.idempotency_key);
--- a/src/app/instance/upstream_gate.cpp
+++ b/src/app/instance/upstream_gate.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+// The leader names another gate 400 ms after the last renewal, while the lease lasts 600 ms; within the
+// difference and 5 ms of clock drift the next gate may already run a key.
+constexpr duration takeover_before_lease_end = std::chrono::milliseconds(205);
+
 admission::queue_options queue_options_of(const ownership::upstream_row& row) {
     admission::queue_options options;
     options.slots = std::max(1U, row.slots);
@@ -70,7 +74,7 @@
     if (shared_.settings.routing == settings::routing_mode::direct) {
         return true;
     }
-    return !handed_over_ && now < shared_.lease_end() && grants_.issuer().may_dispatch(now);
+    return holds_lease(now) && grants_.issuer().may_dispatch(now);
 }
 
 bool upstream_gate::still_owner(const gate_request& request) const {
@@ -82,12 +86,12 @@
 
 void upstream_gate::submit(const gate_request_ptr& request) {
     if (handed_over_ || !still_owner(*request)) {
-        request->answer(not_run(refusal::stale_route));
+        finish(request, not_run(refusal::stale_route));
         return;
     }
     const auto standing = shared_.suspects.standing_of(request->digest, request->arrived);
     if (standing == admission::suspect_list::standing::refused) {
-        request->answer(not_run(refusal::crashes_upstreams));
+        refuse(request, refusal::crashes_upstreams);
         return;
     }
     request->exclusive = standing == admission::suspect_list::standing::suspect;
@@ -95,7 +99,7 @@
         const auto duplicate = by_key_.find(request->wire.idempotency_key);
         if (duplicate != by_key_.end()) {
             if (duplicate->second->digest != request->digest) {
-                request->answer(not_run(refusal::invalid_request));
+                refuse(request, refusal::invalid_request);
                 return;
             }
             std::move(request->waiters.begin(), request->waiters.end(),
@@ -119,10 +123,10 @@
         waiting_.emplace(request->ticket, request);
         break;
     case admission::admit_result::queue_full:
-        finish(request, not_run(refusal::queue_full, std::chrono::seconds(1)));
+        refuse(request, refusal::queue_full, std::chrono::seconds(1));
         break;
     case admission::admit_result::deadline:
-        finish(request, not_run(refusal::deadline));
+        refuse(request, refusal::deadline);
         break;
     }
 }
@@ -144,7 +148,7 @@
         const auto it = waiting_.find(ticket.id);
         const auto request = it->second;
         waiting_.erase(it);
-        finish(request, not_run(refusal::deadline));
+        refuse(request, refusal::deadline);
     }
 }
 
@@ -158,7 +162,7 @@
     for (const auto& request : expired) {
         queue_->cancel(request->ticket);
         waiting_.erase(request->ticket);
-        finish(request, not_run(refusal::deadline));
+        refuse(request, refusal::deadline);
     }
 }
 
@@ -185,6 +189,32 @@
     }
 }
 
+bool upstream_gate::uses_ledger(const gate_request& request) const {
+    return request.wire.at_most_once && shared_.settings.routing == settings::routing_mode::gate;
+}
+
+bool upstream_gate::holds_lease(time_point now) const {
+    return !handed_over_ && now < shared_.lease_end();
+}
+
+bool upstream_gate::may_claim_not_run(const gate_request& request) const {
+    return holds_lease(steady_now() + takeover_before_lease_end) && still_owner(request);
+}
+
+void upstream_gate::refuse(const gate_request_ptr& request, refusal reason, duration retry_after) {
+    const auto refused = not_run(reason, retry_after);
+    if (!uses_ledger(*request)) {
+        finish(request, refused);
+        return;
+    }
+    shared_.ledger.check(record_of(*request, ledger::record_state::begun),
+                         [this, alive = alive_, request, refused](const ledger::decision& found) {
+                             if (*alive) {
+                                 on_checked(request, found, refused);
+                             }
+                         });
+}
+
 void upstream_gate::finish(const gate_request_ptr& request, wire::ForwardResponse response) {
     if (request->wire.at_most_once) {
         const auto it = by_key_.find(request->wire.idempotency_key);
@@ -192,7 +222,12 @@
             by_key_.erase(it);
         }
     }
-    if (request->may_have_run && response.outcome == static_cast<std::int8_t>(outcome::not_run)) {
+    // Another gate may run a key that this gate no longer holds, or may have run it.
+    const bool unfounded =
+        uses_ledger(*request) &&
+        (response.reason == static_cast<std::int8_t>(refusal::stale_route) || !may_claim_not_run(*request));
+    if ((request->may_have_run || unfounded) &&
+        response.outcome == static_cast<std::int8_t>(outcome::not_run)) {
         response.outcome = static_cast<std::int8_t>(outcome::unknown);
     }
     request->answer(response);
--- a/src/app/instance/upstream_gate.h
+++ b/src/app/instance/upstream_gate.h
@@ -69,6 +69,15 @@
     void on_may_have_run(const gate_request_ptr& request, refusal reason);
     bool retry(const gate_request_ptr& request);
     void release(const gate_request_ptr& request, std::optional<duration> service_time);
+    /// Refuses a request that the ledger has not decided. An earlier send of the idempotency key of an
+    /// at-most-once request may have run, so the ledger window is read before `not-run` is claimed.
+    void refuse(const gate_request_ptr& request, refusal reason, duration retry_after = duration{0});
+    void on_checked(const gate_request_ptr& request, const ledger::decision& found,
+                    const wire::ForwardResponse& refused);
+    bool uses_ledger(const gate_request& request) const;
+    bool holds_lease(time_point now) const;
+    /// True while no other instance can be the gate of the request's key.
+    bool may_claim_not_run(const gate_request& request) const;
     void finish(const gate_request_ptr& request, wire::ForwardResponse response);
     ledger::record record_of(const gate_request& request, ledger::record_state state) const;
 
--- a/src/ledger/writer.cpp
+++ b/src/ledger/writer.cpp
@@ -10,7 +10,16 @@
     state::effects out;
     state_->now = now;
     state_->drop_expired_keys();
-    state_->begin({wanted, done}, replicas, out);
+    state_->begin({wanted, done, false}, replicas, out);
+    return out.run();
+}
+
+std::vector<outgoing> writer::check(const record& wanted, const std::vector<std::string>& replicas,
+                                    const on_decision& done, time_point now) {
+    state::effects out;
+    state_->now = now;
+    state_->drop_expired_keys();
+    state_->begin({wanted, done, true}, replicas, out);
     return out.run();
 }
 
--- a/src/ledger/writer_requests.cpp
+++ b/src/ledger/writer_requests.cpp
@@ -63,6 +63,10 @@
 
 void writer::state::proceed(gate_shard& shard, const shard_id& id, const waiting_begin& request,
                             effects& out) {
+    if (request.only_check) {
+        report(shard, request, out);
+        return;
+    }
     const auto it = shard.keys.find(request.wanted.key);
     if (it == shard.keys.end()) {
         start_begin(shard, id, request, out);
@@ -83,6 +87,25 @@
     }
 }
 
+void writer::state::report(const gate_shard& shard, const waiting_begin& request, effects& out) {
+    const auto it = shard.keys.find(request.wanted.key);
+    if (it == shard.keys.end()) {
+        out.decide(request.done, verdict::unavailable);
+        return;
+    }
+    const key_entry& entry = it->second;
+    const bool settled = entry.stage == phase::settled;
+    if (settled && entry.known.state == record_state::not_run) {
+        out.decide(request.done, verdict::unavailable, entry.known);
+    } else if (entry.known.digest != request.wanted.digest) {
+        out.decide(request.done, verdict::conflict);
+    } else if (settled && entry.known.state == record_state::answered) {
+        out.decide(request.done, verdict::answer, entry.known);
+    } else {
+        out.decide(request.done, verdict::in_doubt, entry.known);
+    }
+}
+
 void writer::state::start_begin(gate_shard& shard, const shard_id& id, const waiting_begin& request,
                                 effects& out) {
     // Starting from the clock keeps attempts apart when a restarted process is given its old epoch again.
--- a/src/ledger/writer_state.h
+++ b/src/ledger/writer_state.h
@@ -27,6 +27,7 @@
 struct waiting_begin {
     record wanted;
     writer::on_decision done;
+    bool only_check = false; ///< report what is known and record nothing
 };
 
 struct gate_shard {
@@ -95,6 +96,7 @@
                               const std::vector<std::string>& replicas, effects& out);
     void start_seal(gate_shard& shard, const shard_id& id, effects& out);
     void proceed(gate_shard& shard, const shard_id& id, const waiting_begin& request, effects& out);
+    static void report(const gate_shard& shard, const waiting_begin& request, effects& out);
     void start_begin(gate_shard& shard, const shard_id& id, const waiting_begin& request, effects& out);
     operation& start(operation wanted, effects& out);
     void send(const operation& wanted, effects& out) const;
--- a/tests/ledger/writer_test.cpp
+++ b/tests/ledger/writer_test.cpp
@@ -219,3 +219,85 @@
     CHECK(told->result == verdict::in_doubt);
     CHECK_FALSE(told->known);
 }
+
+TEST_CASE("a check reports what the window says of a key and records nothing") {
+    // Guards against `not-run` for a request that is refused early although an earlier send of its key ran.
+    by_hand it;
+    const auto check = [&](const record& wanted) {
+        it.told.clear();
+        return it.tested.check(
+            wanted, names, [&](const decision& found) { it.told.push_back(found); }, start);
+    };
+    const auto told_at_once = [&](const record& wanted) {
+        CHECK(check(wanted).empty());
+        REQUIRE(it.told.size() == 1);
+        return it.told[0];
+    };
+    SUBCASE("a sealed shard is a lookup, and an absent key stays free to begin") {
+        const auto absent = told_at_once(make("k"));
+        CHECK(absent.result == verdict::unavailable);
+        CHECK_FALSE(absent.known);
+        CHECK(it.tested.pending() == 0);
+        CHECK(it.begin(make("k")).size() == 3);
+    }
+    SUBCASE("in progress: in doubt at once, since the refused request may not wait") {
+        CHECK(told_at_once(make("first")).result == verdict::in_doubt);
+        it.tested.abandon("s", 1, "first");
+        const auto abandoned = told_at_once(make("first"));
+        CHECK(abandoned.result == verdict::in_doubt);
+        CHECK(abandoned.known);
+    }
+    SUBCASE("finished: the recorded answer, or no run") {
+        record result = make("first");
+        result.state = record_state::answered;
+        result.answer = "a";
+        SUBCASE("answered") {
+            it.tested.finish(
+                result, names, [](bool) {}, start);
+            const auto found = told_at_once(make("first"));
+            CHECK(found.result == verdict::answer);
+            CHECK(found.known->answer == "a");
+            auto other = make("first");
+            other.digest = "another request";
+            CHECK(told_at_once(other).result == verdict::conflict);
+        }
+        SUBCASE("not started") {
+            result.state = record_state::not_run;
+            it.tested.finish(
+                result, names, [](bool) {}, start);
+            CHECK(told_at_once(make("first")).result == verdict::unavailable);
+        }
+    }
+    SUBCASE("an unsealed shard is sealed first, once for all checks that wait") {
+        const auto seal = check(make("k", 6));
+        REQUIRE(seal.size() == 3);
+        CHECK(seal[0].seal);
+        CHECK(it.told.empty());
+        int also_told = 0;
+        const auto second = it.tested.check(
+            make("k2", 6), names, [&](const decision&) { ++also_told; }, start);
+        CHECK(second.empty());
+        SUBCASE("an earlier run in the window of one replica of a majority is found") {
+            const record begun = make("k", 5);
+            it.tested.on_seal_reply(seal[0].operation, "r1", {true, 6, {}}, start);
+            CHECK(it.told.empty());
+            CHECK(it.tested.on_seal_reply(seal[0].operation, "r2", {true, 6, {begun}}, start).empty());
+            REQUIRE(it.told.size() == 1);
+            CHECK(it.told[0].result == verdict::in_doubt);
+            CHECK(it.told[0].known);
+            CHECK(also_told == 1);
+        }
+        SUBCASE("a window that no majority lets this gate read is in doubt") {
+            it.tested.on_replica_failed(seal[0].operation, "r1", start);
+            it.tested.tick(start + 30ms);
+            REQUIRE(it.told.size() == 1);
+            CHECK(it.told[0].result == verdict::in_doubt);
+            CHECK_FALSE(it.told[0].known);
+        }
+        SUBCASE("a replica that knows a higher epoch makes the gate stale") {
+            it.tested.on_seal_reply(seal[0].operation, "r1", {false, 9, {}}, start);
+            REQUIRE(it.told.size() == 1);
+            CHECK(it.told[0].result == verdict::stale);
+        }
+    }
+}
