--- /dev/null
+++ b/tests/process/request_ledger_test.cpp
@@ -0,0 +1,125 @@
+#include "process/request_support.h"
+
+#include <atomic>
+
+using namespace kingcupseam;
+using namespace kingcupseam::test;
+using namespace std::chrono_literals;
+
+// Guards against `not-run` for a resend that the queue refuses although the first send ran.
+TEST_CASE("a resend that is refused by a full queue still gets the recorded answer") {
+    process_cluster cluster(one_data_center(3, 1, 100, 1));
+    cluster.start();
+    const auto& entry = cluster.at("a1");
+    const auto first = cluster.book(entry, "k", "first");
+    REQUIRE(first.ran());
+
+    // One slot and 100 ms serve 10 bookings a second; 24 callers keep the queue at its limit.
+    std::atomic<bool> stop{false};
+    std::atomic<int> refused{0};
+    std::vector<std::thread> callers;
+    for (int n = 0; n < 24; ++n) {
+        callers.emplace_back([&, n] {
+            http_caller caller;
+            const auto address = cluster.instances()[static_cast<std::size_t>(n % 3)].caller();
+            for (int i = 0; !stop; ++i) {
+                const auto id = "flood-" + std::to_string(n) + "-" + std::to_string(i);
+                const auto it = book_from(caller, address, id, id);
+                refused += it.header("kingcupseam-outcome") == "not-run" ? 1 : 0;
+                ::usleep(20000);
+            }
+        });
+    }
+    ::usleep(700000);
+    int not_run = 0;
+    int same = 0;
+    for (int n = 0; n < 24; ++n) {
+        const auto again = cluster.book(cluster.instances()[static_cast<std::size_t>(n % 3)], "k", "first");
+        not_run += again.header("kingcupseam-outcome") == "not-run" ? 1 : 0;
+        same += again.ran() && again.body == first.body ? 1 : 0;
+        ::usleep(30000);
+    }
+    stop = true;
+    for (auto& it : callers) {
+        it.join();
+    }
+    MESSAGE("24 resends in a flood: " << same << " recorded answers, " << not_run << " not-run; "
+                                      << refused.load() << " fresh bookings refused");
+    CHECK(refused.load() > 50); // otherwise the queue was never full
+    CHECK(not_run == 0);
+    CHECK(same >= 20);
+    CHECK(count_runs(cluster).of_id("first") == 1);
+    cluster.judge();
+}
+
+// Guards against double runs, false `not-run` and differing answers when the gate of a booking is lost and
+// the caller resends it through other instances.
+TEST_CASE("bookings that are resent through other instances while a gate is killed run at most once") {
+    process_cluster cluster(one_data_center(4, 4, 20));
+    cluster.start();
+    struct told {
+        std::string id;
+        std::vector<answer> answers;
+    };
+    std::atomic<bool> stop{false};
+    std::vector<std::vector<told>> all(12);
+    std::vector<std::thread> callers;
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        callers.emplace_back([&, n] {
+            http_caller caller;
+            for (std::size_t i = 0; !stop; ++i) {
+                told it{"b-" + std::to_string(n) + "-" + std::to_string(i), {}};
+                // Twice in any case, so that a recorded answer is compared with the first.
+                for (std::size_t attempt = 0; attempt < 6; ++attempt) {
+                    const auto& entry = cluster.instances()[(n + i + attempt) % 4];
+                    it.answers.push_back(book_from(caller, entry.caller(), it.id, it.id, 400ms));
+                    if (attempt > 0 && it.answers.back().ran()) {
+                        break;
+                    }
+                }
+                all[n].push_back(std::move(it));
+            }
+        });
+    }
+    ::usleep(800000);
+    // Not the first, which is the only global voter.
+    cluster.at("a2").process->kill();
+    ::usleep(2500000);
+    stop = true;
+    for (auto& it : callers) {
+        it.join();
+    }
+    const auto runs = count_runs(cluster);
+    int ids = 0;
+    int answered = 0;
+    int differing = 0;
+    int false_not_run = 0;
+    for (const auto& caller : all) {
+        for (const auto& it : caller) {
+            ++ids;
+            std::string body;
+            bool ran_before = false;
+            for (const auto& got : it.answers) {
+                if (got.ran()) {
+                    differing += !body.empty() && body != got.body ? 1 : 0;
+                    body = got.body;
+                    ran_before = true;
+                }
+                // A later send may run after one that was told not-run, but none may have run before it.
+                false_not_run += ran_before && got.header("kingcupseam-outcome") == "not-run" ? 1 : 0;
+            }
+            answered += ran_before ? 1 : 0;
+            const bool all_not_run = std::all_of(it.answers.begin(), it.answers.end(), [](const auto& got) {
+                return got.header("kingcupseam-outcome") == "not-run";
+            });
+            false_not_run += all_not_run && runs.of_id(it.id) > 0 ? 1 : 0;
+        }
+    }
+    MESSAGE(ids << " bookings, " << answered << " answered, " << differing << " with differing answers, "
+                << false_not_run << " false not-run");
+    CHECK(ids > 100);
+    CHECK(answered * 10 > ids * 8);
+    CHECK(differing == 0);
+    CHECK(false_not_run == 0);
+    cluster.judge();
+}
