Take the ledger's retention from the profiles and refuse older UUIDv7 keys

Cause: replica and writer kept records for a fixed 10 minutes, and a key older than that ran again. Change: both take the longest retention of the accepted profiles; a longer one extends what is held. A UUIDv7 key older than its profile's retention is refused as expired-key after the window was read, so a known answer is still given. After the retention grew, keys are accepted only up to the age that the windows certainly cover. Ruled out: one retention per service in a replica, since its expiry list is in the order of time.

--- a/include/kingcupseam/ledger.h
+++ b/include/kingcupseam/ledger.h
@@ -67,6 +67,8 @@
 public:
     explicit replica(replica_options settings, replica_start start = replica_start::new_group);
 
+    /// A longer retention also covers the records that are held; a shorter one only new records.
+    void set_retention(duration retention);
     /// Merges @p wanted. `begun` is accepted for an absent key, after a `not_run` record of an earlier
     /// attempt, and over a `begun` record of an earlier attempt of the same epoch. `answered` replaces
     /// `begun` and `not_run`. `not_run` replaces `begun` of the same epoch, unless that is a later attempt.
@@ -136,6 +138,8 @@
     /// @param retention how long the replicas keep a record; the writer remembers it a quarter longer
     explicit writer(duration operation_timeout, duration retention = std::chrono::minutes(10));
 
+    /// A longer retention also covers the keys that are remembered; a shorter one only new keys.
+    void set_retention(duration retention);
     /// Prepares to run a request. Seals and reads the shard first when this gate has not done so at the epoch
     /// of @p wanted with these replicas. An epoch belongs to one lifetime of one gate.
     /// @param replicas names of the shard's ledger replicas; a replaced replica needs a new epoch
@@ -144,8 +148,9 @@
                                 const on_decision& done, time_point now);
     /// Reports what the window says of a key without recording anything, for a request that is refused before
     /// begin(). Seals and reads the shard first as begin() does; a sealed shard is only looked up in memory.
-    /// @param done called once, possibly before this returns, with `answer`, `in_doubt` (an attempt may run or
-    /// have run, or the window cannot be read), `conflict`, `stale`, or `unavailable`: the window shows no run
+    /// @param done called once, possibly before this returns, with `answer`, `in_doubt` (an attempt may run
+    /// or have run, or the window cannot be read), `conflict`, `stale`, or `unavailable`: the window shows no
+    /// run
     std::vector<outgoing> check(const record& wanted, const std::vector<std::string>& replicas,
                                 const on_decision& done, time_point now);
     /// Records the result of a dispatched request: `answered`, or `not_run` when the upstream confirmed that
@@ -173,6 +178,22 @@
     std::shared_ptr<state> state_;
 };
 
+/// Age up to which the windows certainly still hold a key. After a profile makes the retention longer it
+/// grows with the time, since records that were dropped under the shorter retention do not come back.
+class covered_age {
+public:
+    /// @param slack time within which all replicas apply a new profile
+    explicit covered_age(duration slack) : slack_(slack) {}
+    void set_retention(duration retention, time_point now);
+    duration at(time_point now) const;
+
+private:
+    duration slack_;
+    duration retention_{};
+    duration before_{};
+    time_point changed_;
+};
+
 /// Creation time in an idempotency key in UUIDv7 form; empty for any other form.
 std::optional<std::chrono::system_clock::time_point> creation_time(const std::string& idempotency_key);
 
--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -90,6 +90,7 @@
 void gate::on_view_changed() {
     const auto view = views_.load();
     dial_ledger_replicas(*view);
+    ledger_.update_retention(*view, steady_now());
     const auto* rows = view->local_table();
     if (rows == nullptr) {
         return;
--- a/src/app/instance/ledger_host.cpp
+++ b/src/app/instance/ledger_host.cpp
@@ -1,10 +1,14 @@
 #include "app/instance/ledger_host.h"
 
+#include <algorithm>
+
 namespace kingcupseam::app {
 
 namespace {
 
 constexpr duration operation_timeout = std::chrono::milliseconds(200);
+// Five times the 2 s within which an accepted profile is in force on all reachable instances.
+constexpr duration profile_spread = std::chrono::seconds(10);
 
 wire::LedgerRecord to_wire(const ledger::record& source) {
     wire::LedgerRecord result;
@@ -36,7 +40,33 @@
 
 ledger_host::ledger_host(std::string self, peer_mesh& mesh, const view_holder& views)
     : self_(std::move(self)), mesh_(mesh), views_(views), replica_(ledger::replica_options{}),
-      writer_(operation_timeout) {}
+      writer_(operation_timeout), covered_(profile_spread) {}
+
+void ledger_host::update_retention(const routing_view& view, time_point now) {
+    duration longest{0};
+    for (const auto& [service, homes] : view.homes) {
+        const auto* profile = view.rules ? view.rules->profile_of(service) : nullptr;
+        longest = std::max(longest, profile == nullptr ? duration::zero() : profile->ledger_retention);
+    }
+    if (longest == duration::zero()) {
+        return;
+    }
+    replica_.set_retention(longest);
+    writer_.set_retention(longest);
+    covered_.set_retention(longest, now);
+}
+
+bool ledger_host::expired(const std::string& service, const std::string& idempotency_key,
+                          time_point now) const {
+    const auto created = ledger::creation_time(idempotency_key);
+    const auto view = views_.load();
+    const auto* profile = view->rules ? view->rules->profile_of(service) : nullptr;
+    if (!created || profile == nullptr) {
+        return false;
+    }
+    const auto age = std::chrono::system_clock::now() - *created;
+    return age > std::min(profile->ledger_retention, covered_.at(now));
+}
 
 std::vector<std::string> ledger_host::replicas_of(std::uint32_t shard) const {
     const auto view = views_.load();
--- a/src/app/instance/ledger_host.h
+++ b/src/app/instance/ledger_host.h
@@ -26,6 +26,10 @@
     wire::LedgerRecordReply on_record(const wire::LedgerRecord& received);
     wire::LedgerSealReply on_seal(const wire::LedgerSeal& received);
     void tick(time_point now);
+    /// Takes the retention from the accepted profiles: the longest of them for all windows.
+    void update_retention(const routing_view& view, time_point now);
+    /// True when the time in the key is older than what the windows still hold for the service.
+    bool expired(const std::string& service, const std::string& idempotency_key, time_point now) const;
 
 private:
     std::vector<std::string> replicas_of(std::uint32_t shard) const;
@@ -39,6 +43,7 @@
     const view_holder& views_;
     ledger::replica replica_;
     ledger::writer writer_;
+    ledger::covered_age covered_;
 };
 
 } // namespace kingcupseam::app
--- a/src/app/instance/upstream_gate.cpp
+++ b/src/app/instance/upstream_gate.cpp
@@ -108,6 +108,11 @@
         }
         by_key_.emplace(request->wire.idempotency_key, request);
     }
+    if (uses_ledger(*request) &&
+        shared_.ledger.expired(request->wire.service_name, request->wire.idempotency_key, request->arrived)) {
+        refuse(request, refusal::expired_key);
+        return;
+    }
     retries_.on_fresh_request(request->arrived);
     admit(request);
     pump();
--- a/src/ledger/creation_time.cpp
+++ b/src/ledger/creation_time.cpp
@@ -1,5 +1,6 @@
 #include <kingcupseam/ledger.h>
 
+#include <algorithm>
 #include <cctype>
 
 namespace kingcupseam::ledger {
@@ -20,6 +21,21 @@
 
 } // namespace
 
+void covered_age::set_retention(duration retention, time_point now) {
+    if (retention == retention_) {
+        return;
+    }
+    // The first profile meets empty windows, so nothing was dropped under another retention.
+    before_ = retention_ == duration::zero() ? retention : std::min(at(now), retention);
+    retention_ = retention;
+    changed_ = now;
+}
+
+duration covered_age::at(time_point now) const {
+    const duration grown = before_ + std::max(duration::zero(), now - changed_ - slack_);
+    return std::min(retention_, grown);
+}
+
 std::optional<std::chrono::system_clock::time_point> creation_time(const std::string& idempotency_key) {
     if (!has_uuid_form(idempotency_key) || idempotency_key[14] != '7' ||
         std::string("89abAB").find(idempotency_key[19]) == std::string::npos) {
@@ -27,7 +43,10 @@
     }
     const std::string digits = idempotency_key.substr(0, 8) + idempotency_key.substr(9, 4);
     const std::chrono::milliseconds since_epoch(std::stoll(digits, nullptr, 16));
-    return std::chrono::system_clock::time_point(since_epoch);
+    // 48 bits of milliseconds reach beyond the nanoseconds of the system clock.
+    constexpr auto latest =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::duration::max());
+    return std::chrono::system_clock::time_point(std::min(since_epoch, latest));
 }
 
 } // namespace kingcupseam::ledger
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -118,6 +118,23 @@
     state_->is_ready = start == replica_start::new_group;
 }
 
+void replica::set_retention(duration retention) {
+    auto& s = *state_;
+    const duration added = retention - s.settings.retention;
+    s.settings.retention = retention;
+    if (added <= duration::zero()) {
+        return;
+    }
+    for (auto& it : s.expiries) {
+        it.at += added;
+    }
+    for (auto& [id, shard] : s.shards) {
+        for (auto& [key, it] : shard.records) {
+            it.expires += added;
+        }
+    }
+}
+
 write_result replica::write(const record& wanted, time_point now) {
     auto& s = *state_;
     s.drop_expired(now);
--- a/src/ledger/writer.cpp
+++ b/src/ledger/writer.cpp
@@ -5,6 +5,10 @@
 writer::writer(duration operation_timeout, duration retention)
     : state_(std::make_shared<state>(operation_timeout, retention)) {}
 
+void writer::set_retention(duration retention) {
+    state_->set_retention(retention);
+}
+
 std::vector<outgoing> writer::begin(const record& wanted, const std::vector<std::string>& replicas,
                                     const on_decision& done, time_point now) {
     state::effects out;
--- a/src/ledger/writer_requests.cpp
+++ b/src/ledger/writer_requests.cpp
@@ -177,6 +177,23 @@
     keep(shard->second, id, key);
 }
 
+void writer::state::set_retention(duration keep) {
+    const duration next = keep + keep / 4;
+    const duration added = next - retention;
+    retention = next;
+    if (added <= duration::zero()) {
+        return;
+    }
+    for (auto& it : expiries_) {
+        it.at += added;
+    }
+    for (auto& [id, shard] : shards) {
+        for (auto& [key, entry] : shard.keys) {
+            entry.expires += added;
+        }
+    }
+}
+
 void writer::state::keep(gate_shard& shard, const shard_id& id, const std::string& key) {
     shard.keys.at(key).expires = now + retention;
     expiries_.push_back({now + retention, id, key});
--- a/src/ledger/writer_state.h
+++ b/src/ledger/writer_state.h
@@ -66,6 +66,7 @@
 
 struct writer::state {
     state(duration timeout, duration keep) : operation_timeout(timeout), retention(keep + keep / 4) {}
+    void set_retention(duration keep);
 
     /// Messages to send and callbacks to run. Callbacks run last, since they may call the writer again.
     struct effects {
--- a/tests/ledger/writer_test.cpp
+++ b/tests/ledger/writer_test.cpp
@@ -301,3 +301,41 @@
         }
     }
 }
+
+TEST_CASE("a longer retention covers what is already held, and key ages only as far as it is") {
+    // Guards against a second run of a key whose record was dropped under a shorter retention.
+    SUBCASE("replica") {
+        replica tested({.retention = 10s});
+        CHECK(tested.write(make("k"), start).accepted);
+        tested.set_retention(60s);
+        tested.seal("s", 1, 5, start + 30s);
+        CHECK(tested.size() == 1);
+        tested.set_retention(5s);
+        tested.seal("s", 1, 5, start + 59s);
+        CHECK(tested.size() == 1);
+        tested.seal("s", 1, 5, start + 61s);
+        CHECK(tested.size() == 0);
+    }
+    SUBCASE("writer") {
+        by_hand it;
+        record result = make("first");
+        result.state = record_state::answered;
+        it.tested.finish(
+            result, names, [](bool) {}, start);
+        it.tested.set_retention(60s);
+        it.begin(make("first"), start + 70s);
+        REQUIRE(it.told.size() == 1);
+        CHECK(it.told[0].result == verdict::answer);
+    }
+    SUBCASE("age") {
+        covered_age tested(10s);
+        tested.set_retention(600s, start);
+        CHECK(tested.at(start) == 600s);
+        tested.set_retention(3600s, start + 100s);
+        CHECK(tested.at(start + 110s) == 600s);
+        CHECK(tested.at(start + 210s) == 700s);
+        tested.set_retention(650s, start + 210s);
+        CHECK(tested.at(start + 210s) == 650s);
+        CHECK(tested.at(start + 9999s) == 650s);
+    }
+}
--- a/tests/process/request_ledger_test.cpp
+++ b/tests/process/request_ledger_test.cpp
@@ -1,6 +1,8 @@
 #include "process/request_support.h"
 
+#include <array>
 #include <atomic>
+#include <cstdio>
 
 using namespace kingcupseam;
 using namespace kingcupseam::test;
@@ -123,3 +125,31 @@
     CHECK(false_not_run == 0);
     cluster.judge();
 }
+
+// Guards against running a key again whose record may have been dropped.
+TEST_CASE("a key in UUIDv7 form that is older than the retention is refused, unless its answer is known") {
+    process_cluster cluster(one_data_center(3, 2, 5));
+    cluster.start();
+    const auto uuid = [](std::chrono::milliseconds age, const std::string& tail) {
+        const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            std::chrono::system_clock::now().time_since_epoch()) -
+                        age;
+        std::array<char, 13> hex{};
+        std::snprintf(hex.data(), hex.size(), "%012llx", static_cast<unsigned long long>(at.count()));
+        const std::string digits(hex.data());
+        return digits.substr(0, 8) + "-" + digits.substr(8) + "-7000-8000-0000000000" + tail;
+    };
+    const auto young = uuid(9min, "01");
+    const auto old = uuid(11min, "02"); // the profile keeps records for 10 minutes
+    for (const auto& it : cluster.instances()) {
+        CHECK(cluster.book(it, "k", young).ran());
+        const auto refused = cluster.book(it, "k", old);
+        CHECK(refused.status == 410);
+        CHECK(refused.header("kingcupseam-outcome") == "not-run");
+        CHECK(refused.header("kingcupseam-reason") == "expired-key");
+    }
+    const auto runs = count_runs(cluster);
+    CHECK(runs.of_id(young) == 1);
+    CHECK(runs.of_id(old) == 0);
+    cluster.judge();
+}
