Keep the slot of a cancelled execution until the upstream has finished it

Cause: when a deadline passed in flight and the upstream answered the cancellation with running, the gate gave the slot to the next request, which then waited inside the upstream. Change: such an execution keeps its slot; the gate asks every 50 ms, for 10 s at most, whether it is over. Ruled out: waiting for the answer on the open connection, which libcurl closes at the deadline.

--- a/src/app/instance/upstream_dispatch.cpp
+++ b/src/app/instance/upstream_dispatch.cpp
@@ -1,7 +1,5 @@
 #include "app/instance/upstream_gate.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
 #include <string_view>
@@ -10,12 +8,12 @@
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::string_view request_id_header = "kingcupseam-request-id";
 constexpr std::string_view not_started_header = "kingcupseam-not-started";
 constexpr std::string_view token_header = "kingcupseam-token";
-constexpr duration cancel_timeout = std::chrono::milliseconds(300);
+// An execution that is not over by then no longer keeps its slot, so that a faulty upstream is not lost for
+// good.
+constexpr duration longest_hold = std::chrono::seconds(10);
 // Answers above this size are passed on but not recorded: a resend then gets `unknown`.
 constexpr std::size_t max_recorded_answer = 16 * 1024;
 
@@ -265,25 +263,16 @@
 }
 
 void upstream_gate::ask_for_outcome(const gate_request_ptr& request) {
-    http_call call;
-    call.method = "POST";
-    call.url = "http://" + row_.address + "/kcs/cancel";
-    call.headers = {{"Content-Type", "application/json"}};
-    call.body = json{{"request_id", request->attempt_id}}.dump();
-    call.timeout = cancel_timeout;
-    call.connect_timeout = cancel_timeout;
-    call.fresh_connection = true;
-    inspection_client_.send(std::move(call), [this, alive = alive_, request](const http_result& result) {
-        if (!*alive) {
-            return;
-        }
+    cancel_attempt(request->attempt_id, [this, request](const http_result& result, const std::string& state) {
+        const time_point now = steady_now();
         if (result.failure == http_failure::refused) {
-            on_upstream_refused(steady_now());
+            on_upstream_refused(now);
+        }
+        if (state == "running" && running_.erase(request->ticket) != 0) {
+            hold_slot(request->ticket, request->attempt_id, now + longest_hold);
+        } else {
+            release(request, std::nullopt);
         }
-        const bool answered = result.failure == http_failure::none && result.answer.status == 200;
-        const auto body = answered ? json::parse(result.answer.body, nullptr, false) : json();
-        const auto state = body.is_object() ? body.value("state", "") : std::string();
-        release(request, std::nullopt);
         if (state == "cancelled" || state == "not-seen") {
             on_surely_not_run(request, refusal::deadline, true);
         } else {
--- a/src/app/instance/upstream_faults.cpp
+++ b/src/app/instance/upstream_faults.cpp
@@ -11,6 +11,9 @@
 using nlohmann::json;
 
 constexpr duration probe_timeout = std::chrono::milliseconds(300);
+constexpr duration cancel_timeout = std::chrono::milliseconds(300);
+// Asking 20 times a second frees a slot late by 50 ms at most and costs little beside the grants.
+constexpr duration hold_interval = std::chrono::milliseconds(50);
 constexpr duration silence_limit = std::chrono::milliseconds(250);
 
 } // namespace
@@ -94,6 +97,47 @@
     }
 }
 
+void upstream_gate::cancel_attempt(const std::string& attempt_id,
+                                   std::function<void(const http_result&, const std::string&)> done) {
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + row_.address + "/kcs/cancel";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = json{{"request_id", attempt_id}}.dump();
+    call.timeout = cancel_timeout;
+    call.connect_timeout = cancel_timeout;
+    call.fresh_connection = true;
+    inspection_client_.send(
+        std::move(call), [alive = alive_, done = std::move(done)](const http_result& result) {
+            if (!*alive) {
+                return;
+            }
+            const bool answered = result.failure == http_failure::none && result.answer.status == 200;
+            const auto body = answered ? json::parse(result.answer.body, nullptr, false) : json();
+            done(result, body.is_object() ? body.value("state", "") : std::string());
+        });
+}
+
+void upstream_gate::hold_slot(std::uint64_t ticket, const std::string& attempt_id, time_point until) {
+    auto timer = std::make_shared<asio::steady_timer>(shared_.io, hold_interval);
+    timer->async_wait([this, alive = alive_, timer, ticket, attempt_id, until](const asio::error_code&) {
+        if (!*alive) {
+            return;
+        }
+        cancel_attempt(attempt_id, [this, ticket, attempt_id, until](const http_result& result,
+                                                                     const std::string& state) {
+            const time_point now = steady_now();
+            const bool may_run = state == "running" || result.failure == http_failure::timeout;
+            if (may_run && now < until) {
+                hold_slot(ticket, attempt_id, until);
+                return;
+            }
+            queue_->finished(ticket, std::nullopt, now);
+            pump();
+        });
+    });
+}
+
 void upstream_gate::replace_client() {
     // Idle connections of the old pool may be silent as well, and each would cost a request the silence
     // limit.
--- a/src/app/instance/upstream_gate.h
+++ b/src/app/instance/upstream_gate.h
@@ -65,6 +65,11 @@
     void on_answer(const gate_request_ptr& request, const http_response& answer);
     void on_failure(const gate_request_ptr& request, http_failure failure);
     void ask_for_outcome(const gate_request_ptr& request);
+    /// Cancels the attempt at the upstream. @p done gets the state that the upstream told, empty without one.
+    void cancel_attempt(const std::string& attempt_id,
+                        std::function<void(const http_result&, const std::string& state)> done);
+    /// Keeps the slot of an execution that could not be cancelled until the upstream has finished it.
+    void hold_slot(std::uint64_t ticket, const std::string& attempt_id, time_point until);
     void on_surely_not_run(const gate_request_ptr& request, refusal reason, bool retry);
     void on_may_have_run(const gate_request_ptr& request, refusal reason);
     bool retry(const gate_request_ptr& request);
