--- /dev/null
+++ b/tests/process/request_flood_test.cpp
@@ -0,0 +1,88 @@
+#include "process/request_support.h"
+
+using namespace kingcupseam;
+using namespace kingcupseam::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Answered requests per second of a rank.
+double served(const nlohmann::json& report, const std::string& kind) {
+    return report.at("ranks").at(kind).at("answered").get<double>() / report.at("seconds").get<double>();
+}
+
+} // namespace
+
+// Guards against a rank that loses its guaranteed share, or urgent work that is not served first, in a flood.
+TEST_CASE("in a flood of twice the capacity urgent work is served first and bookings keep their share") {
+    // 2 upstreams with 2 slots and 20 ms serve 200 requests/s; navalsig.toml guarantees bookings 15%.
+    process_cluster cluster(one_data_center(3, 2, 20, 2));
+    cluster.start();
+    const double capacity = 200;
+    SUBCASE("urgent flood") {
+        const auto load =
+            cluster.start_load(0, 5,
+                               {"--rank-rate", "urgent:400", "--rank-rate", "standard:60", "--rank-rate",
+                                "deferrable:0", "--warmup", "1", "--judge", cluster.records()});
+        REQUIRE(load->wait(20s));
+        const auto report = cluster.load_report();
+        MESSAGE("urgent flood: urgent " << served(report, "urgent") << "/s, standard "
+                                        << served(report, "standard") << "/s");
+        CHECK(served(report, "standard") > 0.15 * capacity * 0.7);
+        CHECK(served(report, "urgent") > 0.5 * capacity);
+        CHECK_FALSE(report.at("violated").get<bool>());
+    }
+    SUBCASE("booking flood") {
+        const auto load =
+            cluster.start_load(0, 5,
+                               {"--rank-rate", "urgent:60", "--rank-rate", "standard:400", "--rank-rate",
+                                "deferrable:0", "--warmup", "1", "--judge", cluster.records()});
+        REQUIRE(load->wait(20s));
+        const auto report = cluster.load_report();
+        MESSAGE("booking flood: urgent " << served(report, "urgent") << "/s, standard "
+                                         << served(report, "standard") << "/s");
+        CHECK(served(report, "urgent") > 60 * 0.85);
+        CHECK(served(report, "standard") > 0.3 * capacity);
+        CHECK_FALSE(report.at("violated").get<bool>());
+    }
+    cluster.judge();
+}
+
+// Guards against work that is cut off or refused when an upstream or an instance leaves as planned.
+TEST_CASE("a draining upstream and a stopping instance cut off no request") {
+    process_cluster cluster(one_data_center(4, 4, 20));
+    cluster.start();
+    const auto load =
+        cluster.start_load(100, 5, {"--mix", "80:20:0", "--judge", cluster.records()}, {"a1", "a3", "a4"});
+    ::usleep(1000000);
+    cluster.upstream_at("u2").process->signal(SIGTERM);
+    ::usleep(1500000);
+    cluster.at("a2").process->signal(SIGTERM);
+    REQUIRE(load->wait(20s));
+    const auto report = cluster.load_report();
+    MESSAGE(report.at("ranks").at("urgent").dump());
+    MESSAGE(report.at("ranks").at("standard").dump());
+    for (const auto* kind : {"urgent", "standard"}) {
+        const auto& it = report.at("ranks").at(kind);
+        CHECK(it.at("lost") == 0);
+        CHECK(it.at("errors") == 0);
+        CHECK(it.at("unknown") == 0);
+        CHECK(it.at("answered").get<double>() > 0.97 * it.at("sent").get<double>());
+    }
+    CHECK(cluster.upstream_at("u2").process->wait(5s) == 0);
+    CHECK(cluster.at("a2").process->wait(8s) == 0);
+    cluster.judge();
+}
+
+// Guards against a lying load report that takes a working upstream out of service.
+TEST_CASE("misleading load reports cost no correct service") {
+    process_cluster cluster(one_data_center(3, 3, 5, 4, {"--load-misreport", "50", "--load-lag", "500"}));
+    cluster.start();
+    const auto load = cluster.start_load(150, 3, {"--mix", "80:20:0", "--judge", cluster.records()});
+    REQUIRE(load->wait(15s));
+    const auto report = cluster.load_report();
+    MESSAGE(report.at("ranks").at("urgent").dump());
+    CHECK_FALSE(report.at("violated").get<bool>());
+    CHECK(served(report, "urgent") + served(report, "standard") > 0.95 * 150);
+    cluster.judge();
+}
