--- a/src/app/instance/gate.cpp
+++ b/src/app/instance/gate.cpp
@@ -91,6 +91,7 @@
 void gate::on_view_changed() {
     const auto view = views_.load();
     dial_ledger_replicas(*view);
+    ledger_.update_retention(*view, steady_now());
     const auto* rows = view->local_table();
     if (rows == nullptr) {
         return;
@@ -167,7 +168,9 @@
 void gate::submit(const wire::ForwardRequest& request, gate_reply reply) {
     auto* const target = find(request.upstream);
     if (target == nullptr) {
-        reply(not_run(refusal::stale_route));
+        // This instance cannot read the ledger of a key that it does not gate.
+        const auto claim = request.at_most_once ? outcome::unknown : outcome::not_run;
+        reply(refusal_response(claim, refusal::stale_route));
         return;
     }
     hot_keys_.record(request.service_name, request.key, steady_now());
--- a/src/app/instance/upstream_dispatch.cpp
+++ b/src/app/instance/upstream_dispatch.cpp
@@ -1,7 +1,5 @@
 #include "app/instance/upstream_gate.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
 #include <string_view>
@@ -10,12 +8,12 @@
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::string_view request_id_header = "kingcupseam-request-id";
 constexpr std::string_view not_started_header = "kingcupseam-not-started";
 constexpr std::string_view token_header = "kingcupseam-token";
-constexpr duration cancel_timeout = std::chrono::milliseconds(300);
+// An execution that is not over by then no longer keeps its slot, so that a faulty upstream is not lost for
+// good.
+constexpr duration longest_hold = std::chrono::seconds(10);
 // Answers above this size are passed on but not recorded: a resend then gets `unknown`.
 constexpr std::size_t max_recorded_answer = 16 * 1024;
 
@@ -73,7 +71,7 @@
         finish(request, not_run(refusal::stale_route));
         return;
     }
-    if (!request->wire.at_most_once || shared_.settings.routing == settings::routing_mode::direct) {
+    if (!uses_ledger(*request)) {
         send(request);
         return;
     }
@@ -110,14 +108,11 @@
         break;
     case ledger::verdict::conflict:
         release(request, std::nullopt);
-        finish(request, may_dispatch(now) ? not_run(refusal::invalid_request)
-                                          : unknown_outcome(refusal::invalid_request));
+        finish(request, not_run(refusal::invalid_request));
         break;
     case ledger::verdict::unavailable:
         release(request, std::nullopt);
-        // Once the gate's lease has ended another gate may have run the key.
-        finish(request, may_dispatch(now) ? not_run(refusal::ledger_unavailable, std::chrono::seconds(1))
-                                          : unknown_outcome(refusal::ledger_unavailable));
+        finish(request, not_run(refusal::ledger_unavailable, std::chrono::seconds(1)));
         break;
     case ledger::verdict::stale:
         // This gate will not run it, but the next gate may have.
@@ -128,6 +123,29 @@
     pump();
 }
 
+void upstream_gate::on_checked(const gate_request_ptr& request, const ledger::decision& found,
+                               const wire::ForwardResponse& refused) {
+    switch (found.result) {
+    case ledger::verdict::answer:
+        finish(request, recorded_answer(*found.known));
+        break;
+    case ledger::verdict::unavailable:
+        finish(request, refused);
+        break;
+    case ledger::verdict::conflict:
+        finish(request, not_run(refusal::invalid_request));
+        break;
+    case ledger::verdict::stale:
+        finish(request, unknown_outcome(refusal::stale_route));
+        break;
+    case ledger::verdict::in_doubt:
+    case ledger::verdict::dispatch:
+    case ledger::verdict::wait:
+        finish(request, unknown_outcome(found.known ? refusal::in_doubt : refusal::ledger_unavailable));
+        break;
+    }
+}
+
 http_call upstream_gate::make_call(gate_request& request, time_point now) {
     const duration left = request.deadline - now;
     const auto left_ms =
@@ -214,7 +232,7 @@
         }
     }
     const auto content_type = header_of(answer, "content-type");
-    if (request->wire.at_most_once && shared_.settings.routing == settings::routing_mode::gate) {
+    if (uses_ledger(*request)) {
         auto record = record_of(*request, ledger::record_state::answered);
         record.status = answer.status;
         if (content_type.size() + answer.body.size() < max_recorded_answer) {
@@ -245,25 +263,16 @@
 }
 
 void upstream_gate::ask_for_outcome(const gate_request_ptr& request) {
-    http_call call;
-    call.method = "POST";
-    call.url = "http://" + row_.address + "/kcs/cancel";
-    call.headers = {{"Content-Type", "application/json"}};
-    call.body = json{{"request_id", request->attempt_id}}.dump();
-    call.timeout = cancel_timeout;
-    call.connect_timeout = cancel_timeout;
-    call.fresh_connection = true;
-    inspection_client_.send(std::move(call), [this, alive = alive_, request](const http_result& result) {
-        if (!*alive) {
-            return;
-        }
+    cancel_attempt(request->attempt_id, [this, request](const http_result& result, const std::string& state) {
+        const time_point now = steady_now();
         if (result.failure == http_failure::refused) {
-            on_upstream_refused(steady_now());
+            on_upstream_refused(now);
+        }
+        if (state == "running" && running_.erase(request->ticket) != 0) {
+            hold_slot(request->ticket, request->attempt_id, now + longest_hold);
+        } else {
+            release(request, std::nullopt);
         }
-        const bool answered = result.failure == http_failure::none && result.answer.status == 200;
-        const auto body = answered ? json::parse(result.answer.body, nullptr, false) : json();
-        const auto state = body.is_object() ? body.value("state", "") : std::string();
-        release(request, std::nullopt);
         if (state == "cancelled" || state == "not-seen") {
             on_surely_not_run(request, refusal::deadline, true);
         } else {
@@ -274,9 +283,7 @@
 }
 
 void upstream_gate::on_surely_not_run(const gate_request_ptr& request, refusal reason, bool retry_wanted) {
-    const bool recorded =
-        request->wire.at_most_once && shared_.settings.routing == settings::routing_mode::gate;
-    if (recorded) {
+    if (uses_ledger(*request)) {
         shared_.ledger.finish(record_of(*request, ledger::record_state::not_run));
     }
     if (running_.count(request->ticket) != 0) {
@@ -290,7 +297,7 @@
 
 void upstream_gate::on_may_have_run(const gate_request_ptr& request, refusal reason) {
     if (request->wire.at_most_once) {
-        if (shared_.settings.routing == settings::routing_mode::gate) {
+        if (uses_ledger(*request)) {
             shared_.ledger.abandon(request->wire.service_name,
                                    static_cast<std::uint32_t>(request->wire.shard),
                                    request->wire.idempotency_key);
