Detect the loss of an instance within 300 ms at 2 KB/s on the wire

Cause: random probes reach a given member only after up to five intervals, and deaths travelled with later probes, so the defaults took about 1 s at p99.

Change: each interval probes the successor in a hashed ring; every eighth also probes a random member. Deaths and refutations are passed on at once to three members, and an instance announces itself after a pause of its own. The defaults are 72/20/165 ms. The benchmark bounds the bytes on the wire instead of the payload, and false deaths.

--- a/benchmark/membership_cost.cpp
+++ b/benchmark/membership_cost.cpp
@@ -1,6 +1,7 @@
 // Messages, bytes, detection time and false positives of the failure detector, in virtual time with 1% loss.
 // Exits with 1 when a group of 60 misses a bound of docs/design.md: detection within 300 ms (99% of the
-// instances that learn of a loss), control traffic of at most 2 KB/s per instance.
+// instances that learn of a loss), control traffic of at most 2 KB/s per instance with UDP and IP headers, no
+// false death.
 #include "../tests/support/virtual_network.h"
 
 #include <algorithm>
@@ -119,23 +120,21 @@
         "Detection in ms, over all instances that learn of a loss. False: deaths of running instances.\n");
     std::printf("%-8s %7s %10s %9s %9s %8s %8s %8s %8s %6s %6s\n", "tuning", "members", "messages", "bytes",
                 "on wire", "p50", "p90", "p99", "max", "false", "missed");
-    const auto fast = tuned(40ms, 10ms, 70ms);
-    for (const std::size_t members : {4, 10, 60, 180, 540}) {
-        measure("default", members, {}, members > 100 ? 2 : 10);
-    }
-    // A run of 540 members at this rate takes minutes of computing time.
+    // The tuning for a group in which detection within a second is enough.
+    measure("slow", 60, tuned(150ms, 60ms, 200ms), 10);
+    // A run of 540 members takes minutes of computing time.
     bool failed = false;
     for (const std::size_t members : {4, 10, 60, 180}) {
-        const auto out = measure("fast", members, fast, members > 100 ? 2 : 20);
+        const auto out = measure("default", members, {}, members > 100 ? 2 : 20);
         if (members == 60) {
             const auto p99 = out.detection_ms[static_cast<std::size_t>(
                 0.99 * static_cast<double>(out.detection_ms.size() - 1))];
-            failed = p99 > 300 || out.bytes > 2000 || out.undetected > 0;
+            failed = p99 > 300 || out.wire_bytes > 2000 || out.undetected > 0 || out.false_deaths > 0;
         }
     }
     if (failed) {
-        std::printf(
-            "MISSED: a group of 60 detects within 300 ms (p99) at no more than 2 KB/s per instance\n");
+        std::printf("MISSED: a group of 60 detects within 300 ms (p99) at no more than 2 KB/s on the wire "
+                    "per instance\n");
     }
     return failed ? 1 : 0;
 }
--- a/include/kingcupseam/membership.h
+++ b/include/kingcupseam/membership.h
@@ -47,17 +47,21 @@
 struct options {
     record self;
     std::vector<endpoint_address> seeds;
-    duration probe_interval = std::chrono::milliseconds(150);
-    duration probe_timeout = std::chrono::milliseconds(60);
-    duration suspicion_timeout = std::chrono::milliseconds(200);
+    // One interval, two timeouts and the suspicion make 277 ms, within the 300 ms for detection. The last two
+    // exceed a pause of 200 ms, which must not end in a death. A shorter interval would need more than 2 KB/s
+    // with UDP and IP headers (benchmark/membership_cost.cpp).
+    duration probe_interval = std::chrono::milliseconds(72);
+    duration probe_timeout = std::chrono::milliseconds(20);
+    duration suspicion_timeout = std::chrono::milliseconds(165);
     duration dead_retention = std::chrono::minutes(10);
     std::size_t indirect_probes = 2;
     std::size_t max_piggyback = 6;
     std::uint64_t seed = 1;
 };
 
-/// Failure detector by random probing with piggybacked changes; the cost per instance does not grow with
-/// their number. Has no clock and no socket.
+/// Failure detector with piggybacked changes that probes its successor in a ring of all members, and more
+/// rarely a random member; the cost per instance does not grow with their number. Deaths and refutations are
+/// passed on at once. Has no clock and no socket.
 class detector {
 public:
     detector(options settings, time_point now);
--- a/src/membership/detector.cpp
+++ b/src/membership/detector.cpp
@@ -15,6 +15,12 @@
 constexpr std::size_t records_per_message = 32;
 // Members that are told of a planned stop directly; the others learn it from them.
 constexpr std::size_t told_of_leaving = 3;
+// Intervals between probes of a random member, besides the probe of the successor in each. They find members
+// whose predecessor in the ring is lost too, and spread changes beyond the neighbours.
+constexpr std::uint64_t random_probe_every = 8;
+// Members that each member tells of a death or a refutation at once, when it learns of it. Passed on with the
+// probes only, a refutation could miss the end of the suspicion.
+constexpr std::size_t told_at_once = 3;
 
 } // namespace
 
@@ -44,6 +50,7 @@
               std::vector<record> changes);
     std::vector<record> changes_for(const std::string& name);
     void learn(effects& out, const record& received, time_point now);
+    void pass_on(effects& out, const record& received);
     void mark(effects& out, const std::string& name, status condition, time_point now);
     void start_probe(effects& out, const record& target, const record& requester, std::uint64_t sequence,
                      time_point now);
@@ -63,6 +70,7 @@
     std::size_t eager_retries =
         0; ///< dead members that are tried without waiting, after one of them came back
     bool leaving = false;
+    std::uint64_t intervals = 0;
     time_point last_tick;
     time_point next_probe;
     time_point next_join;
@@ -97,12 +105,24 @@
     const auto* before = members.find(received.id.name);
     const bool returned =
         before != nullptr && before->known.condition == status::dead && received.condition == status::alive;
+    const bool refutes = before != nullptr && before->known.condition == status::suspect &&
+                         received.condition == status::alive;
     if (members.apply(received, now)) {
         out.changed.push_back(received);
+        if (received.condition == status::dead || refutes) {
+            pass_on(out, received);
+        }
         eager_retries = returned ? members.all().size() : eager_retries;
     }
 }
 
+void detector::state::pass_on(effects& out, const record& received) {
+    // An acknowledgement that belongs to no probe carries the record and asks for no answer.
+    for (const auto* one : members.pick(told_at_once, true, "")) {
+        send(out, message_kind::probe_ack, one->known.address, 0, {received});
+    }
+}
+
 void detector::state::mark(effects& out, const std::string& name, status condition, time_point now) {
     auto changed = members.find(name)->known;
     changed.condition = condition;
@@ -241,14 +261,25 @@
     if (it.leaving) {
         return out;
     }
+    if (gap > it.settings.probe_timeout) {
+        // The others may suspect this instance, and the next probe may come after the end of the suspicion.
+        ++it.self.version;
+        it.members.announce_self(it.self);
+        it.pass_on(out, it.self);
+    }
     it.check_probes(out, now);
     it.check_suspicions(out, now);
     it.try_seeds(out, now);
     if (now >= it.next_probe) {
         it.next_probe = std::max(it.next_probe + it.settings.probe_interval, now);
-        if (const auto* target = it.members.next_to_probe()) {
+        if (const auto* target = it.members.successor_of(it.self.id.name)) {
             it.start_probe(out, target->known, {}, 0, now);
         }
+        if (++it.intervals % random_probe_every == 0) {
+            if (const auto* target = it.members.next_to_probe()) {
+                it.start_probe(out, target->known, {}, 0, now);
+            }
+        }
         it.retry_dead(out, now);
         it.members.forget_dead(now);
     }
--- a/src/membership/member_list.cpp
+++ b/src/membership/member_list.cpp
@@ -1,5 +1,7 @@
 #include "membership/member_list.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <bit>
 
@@ -134,6 +136,23 @@
     return nullptr;
 }
 
+// Every member is the successor of one other, so it is probed within an interval; with random probes alone
+// this took up to five. The hash keeps members with similar names, which often share a rack, apart in the
+// ring.
+const member_list::member* member_list::successor_of(const std::string& name) const {
+    const auto own = XXH3_64bits(name.data(), name.size());
+    const member* nearest = nullptr;
+    std::uint64_t shortest = 0;
+    for (const auto& [other, it] : members_) {
+        const std::uint64_t distance = XXH3_64bits(other.data(), other.size()) - own;
+        if (usable(it.known.condition) && (nearest == nullptr || distance < shortest)) {
+            nearest = &it;
+            shortest = distance;
+        }
+    }
+    return nearest;
+}
+
 std::vector<const member_list::member*> member_list::pick(std::size_t count, bool wanted,
                                                           const std::string& except) {
     std::vector<const member*> candidates;
--- a/src/membership/member_list.h
+++ b/src/membership/member_list.h
@@ -35,6 +35,9 @@
     const std::map<std::string, member>& all() const { return members_; }
     /// Next member to probe, in an order that is shuffled for each round; null when there is none.
     const member* next_to_probe();
+    /// The member after @p name in the ring of all usable members, which are ordered by the hashes of their
+    /// names.
+    const member* successor_of(const std::string& name) const;
     /// Random members with one of the statuses, without @p except.
     std::vector<const member*> pick(std::size_t count, bool usable, const std::string& except);
     std::size_t usable_count() const;
--- a/tests/membership/detector_test.cpp
+++ b/tests/membership/detector_test.cpp
@@ -41,6 +41,13 @@
     CHECK(it.seen(status::alive, "i12") >= 12);
 }
 
+TEST_CASE("a loss is known to all within the 300 ms for detection") {
+    group it(12, 4, 0);
+    it.net.stop(7);
+    it.net.run(300ms);
+    CHECK(it.seen(status::dead, "i7") == 11);
+}
+
 TEST_CASE("an instance that starts before its seeds joins them later") {
     virtual_network net(2, 0);
     net.start(5);
