--- /dev/null
+++ b/tests/process/control_profile_test.cpp
@@ -0,0 +1,147 @@
+#include "support/process_cluster.h"
+
+#include <thread>
+
+using namespace kingcupseam;
+using namespace kingcupseam::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using instance = process_cluster::instance;
+
+std::string changed_text(const process_cluster& cluster, const std::string& mark) {
+    return cluster.profile_text() + "\n# " + mark + "\n";
+}
+
+bool everywhere(process_cluster& cluster, std::uint64_t version) {
+    return std::all_of(cluster.instances().begin(), cluster.instances().end(), [&](const instance& it) {
+        return cluster.profile_version(it, "navalsig") == version;
+    });
+}
+
+cluster_options spread_out() {
+    cluster_options options;
+    options.data_centers = {2, 1, 1};
+    options.upstreams = 3;
+    return options;
+}
+
+/// Lowest version with which any ready instance was seen; instances that are not ready serve nothing.
+class version_watch {
+public:
+    explicit version_watch(process_cluster& cluster) : cluster_(cluster) {}
+    void look() {
+        for (const auto& it : cluster_.instances()) {
+            if (cluster_.ready(it)) {
+                lowest_ = std::min(lowest_, cluster_.profile_version(it, "navalsig"));
+            }
+        }
+    }
+    std::uint64_t lowest() const { return lowest_; }
+
+private:
+    process_cluster& cluster_;
+    std::uint64_t lowest_ = UINT64_MAX;
+};
+
+} // namespace
+
+// Guards against changes that are lost, decided twice, or not passed on to every instance.
+TEST_CASE("an accepted profile is in force everywhere within 2 s, and racing operators get one winner") {
+    process_cluster cluster(spread_out());
+    cluster.start();
+    auto& any = cluster.at("a2");
+    const auto accepted = cluster.change_profile(any, "navalsig", 1, "second", changed_text(cluster, "2"));
+    REQUIRE(accepted.status == 200);
+    const auto since = steady_now();
+    CHECK(process_cluster::wait_until([&] { return everywhere(cluster, 2); }, 2s));
+    MESSAGE("in force everywhere after ms: ", (steady_now() - since) / 1ms);
+
+    SUBCASE("racing operators") {
+        std::vector<answer> answers(cluster.instances().size());
+        std::vector<std::thread> operators;
+        for (std::size_t n = 0; n < answers.size(); ++n) {
+            operators.emplace_back([&, n] {
+                http_caller http;
+                const auto id = "race-" + std::to_string(n);
+                answers[n] = http.send("POST", cluster.instances()[n].operators(),
+                                       "/v1/profiles/navalsig?base_version=2&change_id=" + id,
+                                       changed_text(cluster, id),
+                                       {{"Authorization", std::string("Bearer ") + process_cluster::token}});
+            });
+        }
+        for (auto& it : operators) {
+            it.join();
+        }
+        CHECK(std::count_if(answers.begin(), answers.end(), [](auto& it) { return it.status == 200; }) == 1);
+        for (std::size_t n = 0; n < answers.size(); ++n) {
+            const auto id = "race-" + std::to_string(n);
+            if (answers[n].status != 200) {
+                CHECK(answers[n].status == 409);
+                CHECK(answers[n].json().at("version") == 3);
+            }
+            const auto again = cluster.change_profile(any, "navalsig", 2, id, changed_text(cluster, id));
+            CHECK(again.status == answers[n].status);
+            CHECK(again.json() == answers[n].json());
+        }
+    }
+    SUBCASE("a resent change") {
+        const auto again =
+            cluster.change_profile(cluster.at("b1"), "navalsig", 1, "second", changed_text(cluster, "2"));
+        CHECK(again.status == 200);
+        CHECK(again.json() == accepted.json());
+        CHECK(everywhere(cluster, 2));
+    }
+}
+
+// Guards against a voter that serves with the state of its snapshot or log before it knows what is committed.
+TEST_CASE("no restart brings an older profile back, also after 500 changes") {
+    process_cluster cluster(spread_out());
+    cluster.start();
+    const auto begin = steady_now();
+    constexpr std::uint64_t last = 501;
+    for (std::uint64_t n = 1; n < last; ++n) {
+        const auto id = "change-" + std::to_string(n);
+        // An unconfirmed change is resent with its id, as the operators' page says.
+        REQUIRE(process_cluster::wait_until(
+            [&] {
+                return cluster.change_profile(cluster.at("a1"), "navalsig", n, id, changed_text(cluster, id))
+                           .status == 200;
+            },
+            3s));
+    }
+    MESSAGE("500 changes took ms: ", (steady_now() - begin) / 1ms);
+    REQUIRE(process_cluster::wait_until([&] { return everywhere(cluster, last); }, 2s));
+    version_watch watch(cluster);
+    SUBCASE("all instances at once") {
+        for (auto& it : cluster.instances()) {
+            it.process->kill();
+        }
+        for (auto& it : cluster.instances()) {
+            cluster.start(it);
+        }
+    }
+    SUBCASE("one by one") {
+        for (auto& it : cluster.instances()) {
+            cluster.restart(it);
+            const bool back = process_cluster::wait_until(
+                [&] {
+                    watch.look();
+                    return cluster.ready(it);
+                },
+                5s);
+            CHECK(back);
+        }
+    }
+    const auto since = steady_now();
+    const bool all = process_cluster::wait_until(
+        [&] {
+            watch.look();
+            return everywhere(cluster, last) && cluster.all_owned();
+        },
+        8s);
+    CHECK(all);
+    MESSAGE("ready again after ms: ", (steady_now() - since) / 1ms);
+    CHECK(watch.lowest() == last);
+}
--- a/tests/support/process_cluster.h
+++ b/tests/support/process_cluster.h
@@ -224,7 +224,13 @@
         for (auto& it : upstreams_) {
             start(it);
         }
-        REQUIRE(wait_until([&] { return all_owned(); }, end - steady_now()));
+        const bool owned = wait_until([&] { return all_owned(); }, end - steady_now());
+        std::string seen;
+        for (const auto& it : instances_) {
+            seen += owned ? "" : status(it).dump() + "\n" + read(path(it.name + ".log"));
+        }
+        INFO(seen);
+        REQUIRE(owned);
     }
     void start(instance& it) {
         const auto file = folder_.write(it.name + ".toml", settings_of(it));
