--- a/tests/process/request_ledger_test.cpp
+++ b/tests/process/request_ledger_test.cpp
@@ -20,6 +20,7 @@
     std::atomic<bool> stop{false};
     std::atomic<int> refused{0};
     std::vector<std::thread> callers;
+    callers.reserve(24);
     for (int n = 0; n < 24; ++n) {
         callers.emplace_back([&, n] {
             http_caller caller;
