Publish the tables of a new generation

Cause: a data centre group of the next generation starts with the mirrored table, whose version is an index of the former group's log. Change: the taken-over table starts at version 0, and an instance without a table asks from below that. The flood test now demands the guaranteed share of what was served instead of 70% of a calculated one.

--- a/src/app/instance/control.cpp
+++ b/src/app/instance/control.cpp
@@ -99,9 +99,10 @@
 }
 
 std::string control::gossip_target() {
-    // An instance without a group reports to the leader, which alone forms groups; and only the leader can tell a
-    // starting instance that its state is current.
-    if ((!global_.ready() || data_center_.ungrouped(steady_now())) && shared_.link_to(global_.leader()) != nullptr) {
+    // An instance without a group reports to the leader, which alone forms groups; and only the leader can
+    // tell a starting instance that its state is current.
+    if ((!global_.ready() || data_center_.ungrouped(steady_now())) &&
+        shared_.link_to(global_.leader()) != nullptr) {
         return global_.leader();
     }
     if (shared_.instances.empty()) {
--- a/src/app/instance/data_center_tier.cpp
+++ b/src/app/instance/data_center_tier.cpp
@@ -13,6 +13,9 @@
 // Finds the new leader within a few requests; a refused request costs less than a missed renewal.
 constexpr duration lease_retry = std::chrono::milliseconds(25);
 
+// Below every version, also that of a table that a new generation took over from the mirror.
+constexpr std::int64_t no_table_version = -1;
+
 } // namespace
 
 assignment_machine::assignment_machine(const std::string& data_center, std::uint64_t generation,
@@ -23,6 +26,7 @@
     }
     auto rows = ownership::decode_table(mirrored);
     rows.generation = generation;
+    rows.version = 0; // versions are indexes of the group's log, and the log of a new generation is empty
     state_ = std::make_unique<ownership::assignment_state>(std::move(rows));
 }
 
@@ -155,7 +159,7 @@
     request.generation = static_cast<std::int64_t>(generation_);
     request.table_version = published_ && published_->generation == generation_
                                 ? static_cast<std::int64_t>(published_->version)
-                                : 0;
+                                : no_table_version;
     request.reports = report_.upstreams;
     request.applied_epoch = static_cast<std::int64_t>(report_.applied_epoch);
     request.stopping = stopping_;
--- a/tests/process/control_loss_test.cpp
+++ b/tests/process/control_loss_test.cpp
@@ -215,7 +215,7 @@
 
 // Guards against a process that acts on leases that ran out while it was paused, and against one that
 // forces an election by its return.
-TEST_CASE("an instance that was paused for 3 s neither owns twice nor disturbs" * doctest::may_fail()) {
+TEST_CASE("an instance that was paused for 3 s neither owns twice nor disturbs") {
     process_cluster cluster(one_data_center());
     cluster.start();
     const auto leader = leader_of(cluster);
@@ -265,8 +265,7 @@
 }
 
 // Guards against a data centre that stays without a group once the majority of its voters is gone for good.
-TEST_CASE("a data centre whose diskless instances all restart gets a group of the next generation" *
-          doctest::may_fail()) { // KNOWN-RED.txt
+TEST_CASE("a data centre whose diskless instances all restart gets a group of the next generation") {
     cluster_options options;
     options.data_centers = {1, 3};
     options.durable = {"a1"};
--- a/tests/process/request_flood_test.cpp
+++ b/tests/process/request_flood_test.cpp
@@ -28,7 +28,9 @@
         const auto report = cluster.load_report();
         MESSAGE("urgent flood: urgent " << served(report, "urgent") << "/s, standard "
                                         << served(report, "standard") << "/s");
-        CHECK(served(report, "standard") > 0.15 * capacity * 0.7);
+        // The guarantee is a share of the slot time, and both ranks take the same time in a slot.
+        const double answered = served(report, "standard") + served(report, "urgent");
+        CHECK(served(report, "standard") >= 0.15 * answered);
         CHECK(served(report, "urgent") > 0.5 * capacity);
         CHECK_FALSE(report.at("violated").get<bool>());
     }
