Plan at once when a gate's report changes; end the load when every request has ended

Cause: the leader planned every 40 ms only, several times on the way of a key to its next owner; and the load waited for pooled connections that never became ready after an overload (seen once at 160% of capacity).

--- a/src/app/instance/data_center_leader.cpp
+++ b/src/app/instance/data_center_leader.cpp
@@ -94,6 +94,9 @@
 
 void data_center_tier::note_reports(const wire::GateLeaseRequest& request, time_point now) {
     auto& gate = contacts_[request.gate.name];
+    if (gate.applied_epoch != static_cast<ownership::epoch_number>(request.applied_epoch)) {
+        next_plan_ = now; // a move may wait for this gate
+    }
     gate.applied_epoch = static_cast<ownership::epoch_number>(request.applied_epoch);
     gate.grants_live_until.clear();
     gate.hot_keys.clear();
@@ -115,6 +118,7 @@
         auto& contact = upstreams_[it.name];
         contact.reporting_gate = request.gate.name;
         contact.incarnation = row->incarnation;
+        next_plan_ = contact.health == it.health ? next_plan_ : now;
         contact.health = it.health;
         contact.acknowledged = static_cast<ownership::epoch_number>(it.granted_version);
     }
--- a/src/app/load_runner.cpp
+++ b/src/app/load_runner.cpp
@@ -181,6 +181,10 @@
 
 void load_runner::finish(const request& it) {
     --in_progress_;
+    if (!next_ && in_progress_ == 0) {
+        // Waits on pooled connections that never become ready would keep the context running.
+        context_.stop();
+    }
     auto& results = results_.ranks.at(static_cast<std::size_t>(it.plan.kind));
     // What must never happen counts during the warm-up too.
     results.wrong += it.wrong ? 1 : 0;
