--- a/include/kingcupseam/ownership.h
+++ b/include/kingcupseam/ownership.h
@@ -66,7 +66,8 @@
 struct ledger_group {
     std::vector<std::string> replicas;
     std::vector<std::string> joining; ///< instances that copy the window and do not count yet
-    /// Wall clock time, in ms, at which the group began anew after a majority of its windows was lost; 0: never.
+    /// Wall clock time, in ms, at which the group began anew after a majority of its windows was lost; 0:
+    /// never.
     std::int64_t reset_ms = 0;
     auto operator<=>(const ledger_group&) const = default;
 };
@@ -192,7 +193,8 @@
     std::map<std::string, time_point> grant_may_live_until;
     /// Upstreams whose revocation at the table's version was acknowledged.
     std::map<std::string, epoch_number> acknowledged_version;
-    /// Instances that may hold ledger windows, named so that a restarted one differs; live_instances when empty.
+    /// Instances that may hold ledger windows, named so that a restarted one differs; live_instances when
+    /// empty.
     std::set<std::string> live_replicas;
     std::map<std::string, time_point>
         joined_at; ///< when each upstream became active, for the cold-start ramp
