Wait for room on a full disk instead of ending

Cause: a write that finds no room threw and ended the control instance; it was started again and ended again for as long as the disk was full. An fsync that fails still ends the member. Ruled out: rebuilding the member inside the process, which needs a state machine that goes back in time. Tests: a store that waits, gives up, and does not wait for other failures; fails when the policy is not asked.

--- a/include/kingcupseam/storage.h
+++ b/include/kingcupseam/storage.h
@@ -82,8 +82,25 @@
 /// @param identity the process's incarnation number
 std::unique_ptr<log_store> make_memory_log_store(std::uint64_t identity);
 
+/// What a store does while its disk has no room. A write that found none has changed nothing that counts.
+class full_disk_policy {
+public:
+    full_disk_policy() = default;
+    full_disk_policy(const full_disk_policy&) = delete;
+    full_disk_policy& operator=(const full_disk_policy&) = delete;
+    virtual ~full_disk_policy() = default;
+
+    /// Called after each write that found no room, on the thread that writes.
+    /// @returns true to try once more, false to let the store fail with @p failure
+    virtual bool wait_for_room(const io_error& failure) = 0;
+    /// The write that waited has succeeded.
+    virtual void on_room() = 0;
+};
+
 /// Opens or creates a store in @p folder. A torn tail is cut.
+/// @param on_full null: a full disk is a failure like any other
 /// @throws corrupt_log; io_error, also when another process has the folder open
-std::unique_ptr<log_store> open_file_log_store(const std::filesystem::path& folder);
+std::unique_ptr<log_store> open_file_log_store(const std::filesystem::path& folder,
+                                               std::shared_ptr<full_disk_policy> on_full = nullptr);
 
 } // namespace kingcupseam::storage
--- a/src/storage/file_log_store.cpp
+++ b/src/storage/file_log_store.cpp
@@ -18,12 +18,18 @@
     return value;
 }
 
+bool is_full(const io_error& failure) {
+    return failure.code() == ENOSPC || failure.code() == EDQUOT;
+}
+
 /// Each write is one record in the file "log". Creation and snapshots write "log.new" and rename it, so that
 /// a crash leaves either the old or the new file.
 class file_log_store final : public log_store {
 public:
-    file_log_store(std::shared_ptr<file_system> files, std::filesystem::path folder)
-        : files_(std::move(files)), folder_(std::move(folder)), path_(folder_ / "log") {
+    file_log_store(std::shared_ptr<file_system> files, std::filesystem::path folder,
+                   std::shared_ptr<full_disk_policy> on_full)
+        : files_(std::move(files)), on_full_(std::move(on_full)), folder_(std::move(folder)),
+          path_(folder_ / "log") {
         files_->create_folder(folder_);
         lock_ = files_->lock_folder(folder_);
         if (const auto content = files_->read(path_)) {
@@ -94,12 +100,39 @@
         std::string bytes;
         add_record(bytes, payload, image_.identity + size_);
         usable_ = false;
-        file_->append(bytes);
+        bool again = false;
+        when_there_is_room([&] {
+            if (again) {
+                file_->truncate(size_); // what the failed append left behind
+            }
+            again = true;
+            file_->append(bytes);
+        });
         file_->sync();
         size_ += bytes.size();
         usable_ = true;
     }
 
+    /// Runs @p step again for as long as the policy waits for room.
+    template <typename Step>
+    void when_there_is_room(const Step& step) {
+        bool waited = false;
+        for (;;) {
+            try {
+                step();
+                break;
+            } catch (const io_error& e) {
+                if (!is_full(e) || !on_full_ || !on_full_->wait_for_room(e)) {
+                    throw;
+                }
+                waited = true;
+            }
+        }
+        if (waited) {
+            on_full_->on_room();
+        }
+    }
+
     std::string encode_image() const {
         std::string out;
         add_record(out, identity_payload(image_.identity), 0);
@@ -120,8 +153,11 @@
         const std::string bytes = encode_image();
         const auto next = folder_ / "log.new";
         usable_ = false;
-        auto file = files_->open(next, true);
-        file->append(bytes);
+        std::unique_ptr<log_file> file;
+        when_there_is_room([&] {
+            file = files_->open(next, true);
+            file->append(bytes);
+        });
         file->sync();
         files_->rename(next, path_);
         files_->sync_folder(folder_);
@@ -131,6 +167,7 @@
     }
 
     std::shared_ptr<file_system> files_;
+    std::shared_ptr<full_disk_policy> on_full_;
     std::filesystem::path folder_;
     std::filesystem::path path_;
     std::shared_ptr<void> lock_;
@@ -143,12 +180,14 @@
 } // namespace
 
 std::unique_ptr<log_store> open_log_store_on(std::shared_ptr<file_system> files,
-                                             const std::filesystem::path& folder) {
-    return std::make_unique<file_log_store>(std::move(files), folder);
+                                             const std::filesystem::path& folder,
+                                             std::shared_ptr<full_disk_policy> on_full) {
+    return std::make_unique<file_log_store>(std::move(files), folder, std::move(on_full));
 }
 
-std::unique_ptr<log_store> open_file_log_store(const std::filesystem::path& folder) {
-    return open_log_store_on(make_posix_file_system(), folder);
+std::unique_ptr<log_store> open_file_log_store(const std::filesystem::path& folder,
+                                               std::shared_ptr<full_disk_policy> on_full) {
+    return open_log_store_on(make_posix_file_system(), folder, std::move(on_full));
 }
 
 } // namespace kingcupseam::storage
--- a/src/storage/file_log_store.h
+++ b/src/storage/file_log_store.h
@@ -7,6 +7,7 @@
 
 /// Opens a store on any file system; open_file_log_store uses the POSIX one.
 std::unique_ptr<log_store> open_log_store_on(std::shared_ptr<file_system> files,
-                                             const std::filesystem::path& folder);
+                                             const std::filesystem::path& folder,
+                                             std::shared_ptr<full_disk_policy> on_full = nullptr);
 
 } // namespace kingcupseam::storage
--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -169,6 +169,70 @@
     CHECK(reopened->entries(1, 100).front() == first.front());
 }
 
+namespace {
+
+/// Frees the disk after some tries.
+class freeing_policy final : public full_disk_policy {
+public:
+    freeing_policy(fake_disk& disk, int tries_until_room) : disk_(disk), left_(tries_until_room) {}
+    bool wait_for_room(const io_error&) override {
+        ++waits;
+        if (--left_ <= 0) {
+            disk_.fail_at = -1;
+        }
+        return !gives_up;
+    }
+    void on_room() override { ++recoveries; }
+
+    int waits = 0;
+    int recoveries = 0;
+    bool gives_up = false;
+
+private:
+    fake_disk& disk_;
+    int left_;
+};
+
+} // namespace
+
+// Guards against a control instance that ends, and is started again, for as long as its disk is full.
+TEST_CASE("a store with a policy waits until a full disk has room") {
+    fake_disk disk;
+    const auto policy = std::make_shared<freeing_policy>(disk, 3);
+    const auto store = open_log_store_on(borrowed(disk), "data", policy);
+    const std::vector<entry> first{{1, 1, entry_kind::command, "one"}};
+    const std::vector<entry> second{{2, 1, entry_kind::command, "two"}};
+    store->append(first);
+    disk.fail_at = disk.operations;
+
+    SUBCASE("an append is durable afterwards, without the bytes of the failed tries") {
+        store->append(second);
+        CHECK(policy->waits == 3);
+        CHECK(policy->recoveries == 1);
+        disk.lose_power();
+        const auto reopened = open_log_store_on(borrowed(disk), "data");
+        CHECK(reopened->entries(1, 100) == std::vector<entry>{first.front(), second.front()});
+    }
+    SUBCASE("a snapshot too") {
+        store->save_snapshot({1, 1, "members", "state"});
+        CHECK(policy->recoveries == 1);
+        disk.lose_power();
+        CHECK(open_log_store_on(borrowed(disk), "data")->load_snapshot() ==
+              snapshot{1, 1, "members", "state"});
+    }
+    SUBCASE("a policy that gives up leaves the store unusable") {
+        policy->gives_up = true;
+        CHECK_THROWS_AS(store->append(second), io_error);
+        disk.fail_at = -1;
+        CHECK_THROWS_AS(store->append(second), io_error);
+    }
+    SUBCASE("another failure is not waited for") {
+        disk.error_code = EROFS;
+        CHECK_THROWS_AS(store->append(second), io_error);
+        CHECK(policy->waits == 0);
+    }
+}
+
 TEST_CASE("a folder that cannot be written is an io_error on creation") {
     fake_disk disk;
     disk.fail_at = 0;
