--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -3,103 +3,152 @@
 // never reused.
 namespace cpp kingcupseam.wire
 
-    struct WeightedService {
-    1 : string service_name 2 : double weight
+struct WeightedService {
+  1: string service_name
+  2: double weight
 }
 
 struct Route {
-    1 : string name 2 : string host 3 : string path_prefix 4 : bool at_most_once 5 : i64 timeout_ms 6
-        : i64 target_latency_ms 7 : i32 priority 8 : i32 attempts 9 : list<WeightedService>
-                                                                          targets
+  1: string name
+  2: string host
+  3: string path_prefix
+  4: bool at_most_once
+  5: i64 timeout_ms
+  6: i64 target_latency_ms
+  7: i32 priority
+  8: i32 attempts
+  9: list<WeightedService> targets
 }
 
 struct RoutedService {
-    1 : string name 2 : string health_path 3 : i32 max_connections 4 : bool key_ranges 5 : i64 warm_up_ms
+  1: string name
+  2: string health_path
+  3: i32 max_connections
+  4: bool key_ranges
+  5: i64 warm_up_ms
 }
 
 struct CallerLimits {
-    1 : i64 max_header_bytes 2 : i64 max_body_bytes 3 : i64 header_timeout_ms 4 : i64 idle_timeout_ms
+  1: i64 max_header_bytes
+  2: i64 max_body_bytes
+  3: i64 header_timeout_ms
+  4: i64 idle_timeout_ms
 }
 
 struct Configuration {
-    1 : i64 version 2 : list<Route> routes 3 : list<RoutedService> services 4 : CallerLimits limits 5
-        : binary document
+  1: i64 version
+  2: list<Route> routes
+  3: list<RoutedService> services
+  4: CallerLimits limits
+  5: binary document
 }
 
 struct RegisteredUpstream {
-    1 : string id 2 : i64 started_ms 3 : string service_name 4 : string data_center 5 : string address 6
-        : i32 slots 7 : bool draining 8 : bool left
+  1: string id
+  2: i64 started_ms
+  3: string service_name
+  4: string data_center
+  5: string address
+  6: i32 slots
+  7: bool draining
+  8: bool left
 }
 
 struct KeyRange {
-    1 : string service_name 2 : i32 first 3 : i32 last 4 : string upstream 5 : i64 upstream_started_ms 6
-        : i64 epoch
+  1: string service_name
+  2: i32 first
+  3: i32 last
+  4: string upstream
+  5: i64 upstream_started_ms
+  6: i64 epoch
 }
 
 struct RangeAssignment {
-    1 : string service_name 2 : i32 first 3 : i32 last 4 : string upstream 5 : i64 upstream_started_ms
+  1: string service_name
+  2: i32 first
+  3: i32 last
+  4: string upstream
+  5: i64 upstream_started_ms
 }
 
 // One entry of the log. The parts that are set are applied in this order.
 struct DirectoryCommand {
-    1 : optional Configuration configuration 2 : list<RegisteredUpstream> upstreams 3
-        : list<string>
-              removed_upstreams 4 : list<RangeAssignment>
-                                        assignments 5 : bool renumber_epochs
+  1: optional Configuration configuration
+  2: list<RegisteredUpstream> upstreams
+  3: list<string> removed_upstreams
+  4: list<RangeAssignment> assignments
+  5: bool renumber_epochs
 }
 
 // Names a range by its first key.
 struct RangeStart {
-    1 : string service_name 2 : i32 first
+  1: string service_name
+  2: i32 first
 }
 
 // The whole directory (base 0) or the difference from the directory at index base.
 struct DirectoryUpdate {
-    1 : i64 index 2 : i64 base 3 : optional Configuration configuration 4 : list<string> removed_routes 5
-        : list<RegisteredUpstream>
-              upstreams 6 : list<string>
-                                removed_upstreams 7 : list<KeyRange>
-                                                          ranges 8 : list<RangeStart>
-                                                                         removed_ranges
+  1: i64 index
+  2: i64 base
+  3: optional Configuration configuration
+  4: list<string> removed_routes
+  5: list<RegisteredUpstream> upstreams
+  6: list<string> removed_upstreams
+  7: list<KeyRange> ranges
+  8: list<RangeStart> removed_ranges
 }
 
 struct DirectorySubscribe {
-    1 : i64 known_index
+  1: i64 known_index
 }
 
 struct EntryInstance {
-    1 : string name 2 : string data_center
+  1: string name
+  2: string data_center
 }
 
 struct ControlStatus {
-    1 : bool leads 2 : i64 term 3 : list<string> control_instances 5 : list<EntryInstance> entries
+  1: bool leads
+  2: i64 term
+  3: list<string> control_instances
+  5: list<EntryInstance> entries
 }
 
 struct JoinRequest {
-    1 : bool wants_vote 2 : bool leaving
+  1: bool wants_vote
+  2: bool leaving
 }
 
 struct KeyDemand {
-    1 : string service_name 2 : i32 key 3 : i32 requests
+  1: string service_name
+  2: i32 key
+  3: i32 requests
 }
 
 struct UpstreamLoad {
-    1 : string upstream 2 : i32 answers 3 : i64 service_time_us
+  1: string upstream
+  2: i32 answers
+  3: i64 service_time_us
 }
 
 struct LoadReport {
-    1 : list<KeyDemand> keys 2 : list<UpstreamLoad> upstreams
+  1: list<KeyDemand> keys
+  2: list<UpstreamLoad> upstreams
 }
 
 // An order of an operator or an upstream that reached a control instance without leadership.
 struct ControlOrder {
-    1 : i8 kind 2 : binary payload
+  1: i8 kind
+  2: binary payload
 }
 
 struct ControlOrderReply {
-    1 : bool accepted 2 : binary payload
+  1: bool accepted
+  2: binary payload
 }
 
 struct UpstreamAnnouncement {
-    1 : RegisteredUpstream upstream 2 : i64 sequence 3 : i64 warm_up_left_ms
+  1: RegisteredUpstream upstream
+  2: i64 sequence
+  3: i64 warm_up_left_ms
 }
