Refuse requests that crash one upstream after the other

Cause: nothing shared what an entry knows of a request that broke with its upstream; its caller could send it to one upstream after the other through any entry. Change: entries report broken requests whose upstream is followed by a later life; the leader counts distinct lives by digest and names watched and refused requests to all entries; an answer ends the watch. Ruled out: the suspect list of serve, which refuses a popular request that is alone at work when upstreams with two slots go down and up; a refused connection as the sign of a crash, which a full upstream gives too. Tests: the decisions, and the dispatcher with an upstream that resets its connections; both fail without the change, as there is nothing to call.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -107,11 +107,18 @@
   2: string data_center
 }
 
+// A request that upstreams have ended with, by its digest.
+struct WatchedRequest {
+  1: i64 digest
+  2: bool refused
+}
+
 struct ControlStatus {
   1: bool leads
   2: i64 term
   3: list<string> control_instances
   5: list<EntryInstance> entries
+  6: list<WatchedRequest> watched
 }
 
 struct JoinRequest {
@@ -131,9 +138,19 @@
   3: i64 service_time_us
 }
 
+// A request that was at work when its upstream ended.
+struct CrashedRequest {
+  1: i64 digest
+  2: string upstream
+  3: i64 upstream_started_ms
+}
+
 struct LoadReport {
   1: list<KeyDemand> keys
   2: list<UpstreamLoad> upstreams
+  3: list<CrashedRequest> crashed
+  // Digests of watched requests that an upstream answered.
+  4: list<i64> survived
 }
 
 // An order of an operator or an upstream that reached a control instance without leadership.
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -86,6 +86,11 @@
             entries.push_back({it.name, it.data_center});
         }
         callbacks_.on_entries(std::move(entries));
+        std::vector<watched_request> watched;
+        for (const auto& it : status.watched) {
+            watched.push_back({static_cast<request_digest>(it.digest), it.refused});
+        }
+        callbacks_.on_watched(std::move(watched));
     }
     choose_source();
 }
@@ -157,7 +162,7 @@
     to.notify({frame_type::join_request, 0, encode(join)});
 }
 
-void control_links::send_report(const demand_report& report) {
+void control_links::send_report(const traffic_report& report) {
     const auto found = remotes_.find(source_);
     if (found == remotes_.end() || !found->second.leads) {
         return;
@@ -179,9 +184,17 @@
         it.service_time_us = measured.total.count();
         out.upstreams.push_back(std::move(it));
     }
-    if (!out.keys.empty() || !out.upstreams.empty()) {
-        link(source_).notify({frame_type::load_report, 0, encode(out)});
+    for (const auto& crash : report.crashed) {
+        wire::CrashedRequest it;
+        it.digest = static_cast<std::int64_t>(crash.digest);
+        it.upstream = crash.upstream.id;
+        it.upstream_started_ms = crash.upstream.started_ms;
+        out.crashed.push_back(std::move(it));
+    }
+    for (const auto digest : report.survived) {
+        out.survived.push_back(static_cast<std::int64_t>(digest));
     }
+    link(source_).notify({frame_type::load_report, 0, encode(out)});
 }
 
 } // namespace kingcupseam::router
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -25,12 +25,13 @@
     struct observer {
         std::function<void(directory::snapshot_ptr)> on_directory;
         std::function<void(std::vector<entry_instance>)> on_entries; ///< that take requests
+        std::function<void(std::vector<watched_request>)> on_watched;
     };
 
     control_links(asio::io_context& context, const process_settings& settings, observer callbacks);
 
     void set_seeds(const std::vector<std::string>& ips);
-    void send_report(const demand_report& report);
+    void send_report(const traffic_report& report);
     /// Tells the control instances that this entry takes no more requests of other entries.
     void leave();
     const transport::peer_identity& self() const noexcept { return self_; }
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -203,6 +203,7 @@
         conditions_.clear();
         lives_.clear();
         loads_.clear();
+        crashes_ = crash_watch();
         for (const auto& [id, it] : machine_.state()->upstreams) {
             conditions_[id].last_announced = now;
         }
@@ -218,6 +219,7 @@
         for (auto& [service, it] : loads_) {
             it.decay(decay_factor);
         }
+        crashes_.expire(now);
         replace_lost_members(now);
         remove_silent_upstreams(now);
     }
@@ -302,6 +304,22 @@
         average = average <= 0 ? mean : average * kept + mean * (1 - kept);
     }
     update_speeds();
+    if (!report.crashed.empty() || !report.survived.empty()) {
+        on_crash_reports(report);
+    }
+}
+
+void control_node::on_crash_reports(const wire::LoadReport& report) {
+    for (const auto& it : report.crashed) {
+        const auto digest = static_cast<request_digest>(it.digest);
+        const bool refused = crashes_.on_crash({digest, {it.upstream, it.upstream_started_ms}}, steady_now());
+        spdlog::warn("upstream ended with a request upstream={} digest={:016x} refused={}", it.upstream,
+                     digest, refused);
+    }
+    for (const auto digest : report.survived) {
+        crashes_.on_survived(static_cast<request_digest>(digest));
+    }
+    broadcast_status();
 }
 
 void control_node::update_speeds() {
@@ -339,6 +357,12 @@
         const auto peer = it.second.lock();
         return !peer || !peer->open();
     });
+    for (const auto& watched : crashes_.list()) {
+        wire::WatchedRequest it;
+        it.digest = static_cast<std::int64_t>(watched.digest);
+        it.refused = watched.refused;
+        status.watched.push_back(it);
+    }
     for (const auto& [name, it] : entries_) {
         wire::EntryInstance entry;
         entry.name = name;
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -2,6 +2,7 @@
 
 #include "app/instance/peer_mesh.h"
 #include "app/instance/replicated_group.h"
+#include "router/crash_watch.h"
 #include "router/dialect.h"
 #include "router/directory_machine.h"
 #include "router/publisher.h"
@@ -61,6 +62,7 @@
     void on_join(const std::shared_ptr<transport::connection>& from, const wire::JoinRequest& request);
     void on_order(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void on_load_report(const std::string& payload);
+    void on_crash_reports(const wire::LoadReport& report);
     void update_speeds();
     void send_status(const std::shared_ptr<transport::connection>& to);
     void broadcast_status();
@@ -91,6 +93,7 @@
     std::map<std::string, tracked_life> lives_;
     std::map<std::string, key_ranges::demand> loads_;
     std::map<std::string, double> service_times_; ///< moving average in microseconds, by upstream id
+    crash_watch crashes_;
     bool was_leading_ = false;
     time_point next_keeper_run_;
     time_point next_decay_;
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "router/dispatcher.h"
 
 #include "router/job.h"
+#include "router/request_digest.h"
 
 #include <kingcupseam/error.h>
 
@@ -57,6 +58,10 @@
     }
     const std::string* service = pick_service(*route);
     it->route = *route;
+    if (is_refused(it)) {
+        refuse(it, "crashes-upstreams");
+        return;
+    }
     it->service = service == nullptr ? std::string() : *service;
     it->keyed = has_key_ranges(it->service);
     if (it->keyed && !it->request.key) {
@@ -330,6 +335,7 @@
     }
     directory_ = std::move(held);
     directory_changed_ = steady_now();
+    report_crashes();
     std::vector<std::uint64_t> displaced;
     for (auto it = lanes_.begin(); it != lanes_.end();) {
         const auto* known = directory_->find(it->second->target().life);
@@ -369,7 +375,18 @@
     return allowances_.try_emplace(service, settings_.retries).first->second;
 }
 
-demand_report dispatcher::take_report() {
+bool dispatcher::is_refused(const job_ptr& it) const {
+    return !watched_.empty() && watched_.refuses(digest_of(it->request, forms_.id_header()), steady_now());
+}
+
+void dispatcher::report_crashes() {
+    for (auto& it : broken_.take_crashed(*directory_, steady_now())) {
+        spdlog::warn("upstream ended with a request upstream={} digest={:016x}", it.upstream.id, it.digest);
+        report_.crashed.push_back(std::move(it));
+    }
+}
+
+traffic_report dispatcher::take_report() {
     return std::exchange(report_, {});
 }
 
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "router/crash_watch.h"
 #include "router/dialect.h"
 #include "router/gate_network.h"
 #include "router/lane.h"
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -41,14 +43,17 @@
     double min_service_part = 0.6;
 };
 
-/// Requests and service times since the last report, for the planner.
-struct demand_report {
+/// What an entry has seen since its last report, for the leader.
+struct traffic_report {
     std::map<std::string, std::map<directory::key_number, int>> keys; ///< by service
     struct service_time {
         int answers = 0;
         duration total{};
     };
     std::map<std::string, service_time> upstreams; ///< by id, of requests that did not wait there
+    std::vector<crashed_request> crashed;
+    std::set<request_digest> survived; ///< watched requests that an upstream answered
+    bool empty() const { return keys.empty() && upstreams.empty() && crashed.empty() && survived.empty(); }
 };
 
 /// Takes callers' requests to the upstreams that may run them. Runs on the traffic thread.
@@ -72,13 +77,15 @@
     /// The caller has left: its requests are withdrawn.
     void on_connection_closed(std::uint64_t connection);
     void set_directory(directory::snapshot_ptr held);
+    /// Requests that upstreams have ended with, as the leader names them.
+    void set_watched(const std::vector<watched_request>& named) { watched_.update(named, steady_now()); }
     void set_entries(int entries) { entries_ = entries < 1 ? 1 : entries; }
     /// From now on every answer closes its connection.
     void stop() { stopping_ = true; }
     /// From now on new requests are refused, so that none is cut off by the end of the process.
     void refuse_new() { refusing_ = true; }
     std::size_t requests_in_progress() const noexcept { return jobs_.size(); }
-    demand_report take_report();
+    traffic_report take_report();
 
 private:
     struct job;
@@ -122,6 +129,9 @@
     void fail(const job_ptr& it, int status, const char* reason);
     void finish(const job_ptr& it, app::http_response answer, const char* outcome);
     void remove(const job_ptr& it);
+    /// True for a request that has ended too many upstreams.
+    bool is_refused(const job_ptr& it) const;
+    void report_crashes();
     bool has_key_ranges(const std::string& service) const;
     lane_use use_of(const std::string& service) const;
     const std::string* pick_service(const directory::route& target);
@@ -146,7 +156,9 @@
     std::vector<job_ptr> parked_;
     std::map<std::string, retry_allowance> allowances_;
     std::map<std::string, std::map<std::string, double>> shares_; ///< smooth weighted round robin, by route
-    demand_report report_;
+    traffic_report report_;
+    broken_requests broken_;
+    watched_requests watched_;
 };
 
 } // namespace kingcupseam::router
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -1,5 +1,6 @@
 #include "router/dispatcher.h"
 #include "router/job.h"
+#include "router/request_digest.h"
 
 #include <spdlog/spdlog.h>
 
@@ -26,6 +27,9 @@
         on_answer(it, from, std::move(result.answer));
     } else {
         if (from != nullptr) {
+            if (result.end == exchange_end::broken) {
+                broken_.add(digest_of(it->request, forms_.id_header()), from->target(), steady_now());
+            }
             if (result.end == exchange_end::timeout && it->deadline - it->sent_at < it->route.timeout / 2) {
                 measure_overdue(it, *from); // had little time: no failure of the upstream
             } else {
@@ -60,6 +64,12 @@
         }
         return;
     }
+    if (!watched_.empty()) {
+        const auto digest = digest_of(it->request, forms_.id_header());
+        if (watched_.reports(digest)) {
+            report_.survived.insert(digest);
+        }
+    }
     const duration service_time = now - it->sent_at;
     if (from != nullptr) {
         from->on_answered(service_time, facts.load, now);
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -93,6 +93,10 @@
     it->deadline = now + received.left;
     jobs_.emplace(it->id, it);
     start_timer(it, received.left);
+    if (is_refused(it)) {
+        refuse(it, "crashes-upstreams");
+        return true;
+    }
     place(it);
     return true;
 }
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -87,6 +87,9 @@
             gates_->set_entries(std::move(entries));
         });
     };
+    callbacks.on_watched = [this](std::vector<watched_request> named) {
+        asio::post(traffic_.io, [this, named = std::move(named)] { dispatcher_->set_watched(named); });
+    };
     links_ = std::make_unique<control_links>(control_.io, settings_, std::move(callbacks));
     make_gates();
 }
@@ -137,7 +140,7 @@
             return;
         }
         auto report = dispatcher_->take_report();
-        if (!report.keys.empty() || !report.upstreams.empty()) {
+        if (!report.empty()) {
             asio::post(control_.io, [this, report = std::move(report)] { links_->send_report(report); });
         }
         schedule_report();
--- /dev/null
+++ b/src/router/request_digest.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "router/crash_watch.h"
+#include "router/dialect.h"
+
+namespace kingcupseam::router {
+
+/// Hash of method, target, body and of all headers but @p id_header, which is new for each attempt.
+request_digest digest_of(const caller_request& request, const std::string& id_header);
+
+} // namespace kingcupseam::router
--- /dev/null
+++ b/tests/platform/dispatcher_harness.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "provider_dialect.h"
+#include "router/dispatcher.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcupseam::platform::test {
+
+using app::http_request;
+using app::http_response;
+using std::chrono::milliseconds;
+
+inline constexpr duration longest_test = std::chrono::seconds(5);
+
+/// Upstream whose answers are given by the test; an empty one leaves the request without an answer.
+class fake_upstream {
+public:
+    using answering = std::function<std::optional<http_response>(const http_request&)>;
+
+    fake_upstream(asio::io_context& context, std::uint16_t port, answering on_request)
+        : server_(context, options(port),
+                  [this, on_request = std::move(on_request)](const http_request& it,
+                                                             const app::http_reply& reply) {
+                      ++requests;
+                      if (auto answer = on_request(it)) {
+                          reply(std::move(*answer));
+                      } else {
+                          held_.push_back(reply);
+                      }
+                  }) {}
+    int requests = 0;
+    int closed = 0;
+
+private:
+    app::http_server_options options(std::uint16_t port) {
+        app::http_server_options result;
+        result.listen = {"127.0.0.1", port};
+        result.max_pipelined = 2;
+        result.on_connection_closed = [this](std::uint64_t) { ++closed; };
+        return result;
+    }
+
+    std::vector<app::http_reply> held_;
+    app::http_server server_;
+};
+
+inline http_response signed_answer(const http_request& request) {
+    return {200,
+            {{"X-Request-Id", request.header("X-Request-Id")}, {"X-Response-Signature", "sig"}},
+            "body",
+            false};
+}
+
+/// The other entries; answers are given by the test.
+class fake_gates : public router::gate_network {
+public:
+    std::string gate_of(const directory::upstream&) override { return gate; }
+    std::uint64_t pass_on(const std::string&, const router::routed_request& request, on_end done) override {
+        passed.push_back(request);
+        ends.push_back(std::move(done));
+        return ends.size();
+    }
+    void withdraw(const std::string&, std::uint64_t number) override { withdrawn.push_back(number); }
+
+    std::string gate = "other entry";
+    std::vector<router::routed_request> passed;
+    std::vector<on_end> ends;
+    std::vector<std::uint64_t> withdrawn;
+};
+
+class harness {
+public:
+    static constexpr std::uint16_t first_port = 38471;
+
+    explicit harness(fake_upstream::answering on_request)
+        : upstream(context, first_port, std::move(on_request)), forms(make_provider_dialect()),
+          under_test(context, *forms, options(), registry) {}
+
+    /// @param keyed the service's upstream owns ranges of keys
+    /// @param port where the upstream listens
+    void configure(bool keyed = false, std::int32_t slots = 4, std::uint16_t port = first_port,
+                   std::int64_t started_ms = 1) {
+        directory::snapshot state;
+        auto config = std::make_shared<directory::configuration>();
+        config->version = 1;
+        config->services["s"] = {"s", "/health", 10, keyed, {}};
+        const auto add = [&](const char* name, const char* prefix, execution runs) {
+            config->routes[name] = {name, "h", prefix,    runs, milliseconds(1500), milliseconds(400),
+                                    1,    2,   {{"s", 1}}};
+        };
+        add("safe", "/safe/", execution::idempotent);
+        add("unsafe", "/unsafe/", execution::at_most_once);
+        state.index = 1;
+        state.config = config;
+        state.upstreams["u"] = {{"u", started_ms}, "s", "d", {"127.0.0.1", port}, slots, false, false};
+        if (keyed) {
+            state.ranges["s"][0] = {0, directory::last_key, {"u", started_ms}, 1};
+        }
+        under_test.set_directory(std::make_shared<const directory::snapshot>(state));
+    }
+
+    using answer_slot = std::optional<http_response>;
+    void start(const std::string& target) { start(target, milliseconds(1000), answer); }
+    void start(const std::string& target, duration limit, answer_slot& result) {
+        http_request request;
+        request.method = "GET";
+        request.target = target;
+        request.connection = 7;
+        const auto ms = std::chrono::duration_cast<milliseconds>(limit).count();
+        request.headers = {{"Host", "h"},
+                           {"X-Request-Id", "id-1"},
+                           {"X-Deadline-Ms", std::to_string(ms)},
+                           {"X-Shard-Key", "5"}};
+        result.reset();
+        under_test.handle(std::move(request), [&result](http_response it) { result = std::move(it); });
+    }
+    http_response send(const std::string& target) {
+        start(target);
+        run_until([this] { return answer.has_value(); });
+        REQUIRE(answer);
+        return *answer;
+    }
+    template <class Condition>
+    void run_until(const Condition& condition) {
+        const time_point end = steady_now() + longest_test;
+        while (!condition() && steady_now() < end) {
+            context.run_one_for(milliseconds(20));
+            context.restart();
+        }
+        CHECK(condition());
+    }
+
+    asio::io_context context;
+    fake_upstream upstream;
+    std::unique_ptr<router::dialect> forms;
+    metrics::registry registry;
+    router::dispatcher under_test;
+    std::optional<http_response> answer;
+
+private:
+    static router::dispatcher_options options() {
+        router::dispatcher_options result;
+        result.data_center = "d";
+        return result;
+    }
+};
+
+} // namespace kingcupseam::platform::test
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -76,8 +76,9 @@
     }
 
     std::string url(const std::string& path = "/") const {
-        return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) + path;
+        return "http://127.0.0.1:" + std::to_string(port()) + path;
     }
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
     int accepted() const { return accepted_; }
     void stop_listening() { acceptor_.close(); }
 
