--- a/src/app/command_options.cpp
+++ b/src/app/command_options.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::string_view repeated = "...";
+
 std::string read_token(const options::variables_map& values) {
     std::string token;
     if (values.count("token-file") != 0) {
@@ -54,8 +56,14 @@
     options::options_description all = visible;
     options::positional_options_description positions;
     for (const auto& it : positional) {
-        all.add_options()(it.c_str(), options::value<std::string>());
-        positions.add(it.c_str(), 1);
+        if (it.ends_with(repeated)) {
+            const std::string name = it.substr(0, it.size() - repeated.size());
+            all.add_options()(name.c_str(), options::value<std::vector<std::string>>());
+            positions.add(name.c_str(), -1);
+        } else {
+            all.add_options()(it.c_str(), options::value<std::string>());
+            positions.add(it.c_str(), 1);
+        }
     }
     options::variables_map values;
     try {
--- a/src/app/command_options.h
+++ b/src/app/command_options.h
@@ -16,6 +16,7 @@
 
 /// Parses the words of a command and always knows --help.
 /// @param usage first line of the help
+/// @param positional names of words without an option; "NAME..." takes all that are left, at the end
 /// @returns empty when --help was given; the help is then on @p out
 /// @throws invalid_input on a wrong command line
 std::optional<options::variables_map> parse_options(const arguments& args, const std::string& usage,
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -18,5 +18,6 @@
 int run_status(const arguments& args);
 int run_stand_in(const arguments& args);
 int run_load(const arguments& args);
+int run_explain(const arguments& args);
 
 } // namespace kingcupseam::app
--- a/src/app/operator_commands.h
+++ b/src/app/operator_commands.h
@@ -10,5 +10,6 @@
 int check_command(const arguments& args, std::ostream& out, std::ostream& err);
 int profile_command(const arguments& args, std::ostream& out, std::ostream& err);
 int status_command(const arguments& args, std::ostream& out, std::ostream& err);
+int explain_command(const arguments& args, std::ostream& out, std::ostream& err);
 
 } // namespace kingcupseam::app
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -19,7 +19,7 @@
     int (*run)(const arguments&);
 };
 
-constexpr std::array<command, 8> commands{{
+constexpr std::array<command, 9> commands{{
     {"serve", "run an instance", run_serve},
     {"entry", "run an entry on the provider's machines", kingcupseam::platform::run_entry_command},
     {"control", "run a control instance on the provider's machines",
@@ -27,6 +27,7 @@
     {"check", "validate settings, profiles and state charts", run_check},
     {"profile", "accept, show, list or compare profiles", run_profile},
     {"status", "show owners, gates, groups and instances", run_status},
+    {"explain", "join what the processes logged about one request", run_explain},
     {"stand-in", "run a model of an upstream, for experiments", run_stand_in},
     {"load", "send load and report service per rank, for experiments", run_load},
 }};
