Keep requests without keys in their data centre while they can be answered in time

A third of the invoices (6 KB each) crossed: an upstream elsewhere was taken as soon as the local ones had three times its load, although they had free slots. Change: one of this data centre is taken while it can answer within the target latency; otherwise as before. Ruled out: placement of keys (each key is asked for from all data centres alike) and shorter headers (bodies are most of the bytes).

--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -15,6 +15,8 @@
 
 // Limit of a request whose caller states none and whose route has none.
 constexpr duration default_time_limit = std::chrono::seconds(30);
+// Above the cost of any lane: an upstream that failed is taken only when nothing else is there.
+constexpr double unusable_cost = 1e12;
 
 } // namespace
 
@@ -123,32 +125,38 @@
     return best;
 }
 
-lane* dispatcher::least_loaded(const std::string& service, const std::string& avoid) {
+lane* dispatcher::least_loaded(const job_ptr& it) {
     const time_point now = steady_now();
-    lane* best = nullptr;
-    double best_cost = 0;
+    struct choice {
+        lane* target = nullptr;
+        double cost = 0;
+    };
+    choice local;
+    choice remote;
     for (const auto& [id, candidate] : lanes_) {
-        if (candidate->target().service != service || !candidate->target().open()) {
+        if (candidate->target().service != it->service || !candidate->target().open()) {
             continue;
         }
         double cost = candidate->cost(now);
-        if (candidate->target().data_center != settings_.data_center) {
-            cost *= settings_.remote_cost_factor;
+        if (now < candidate->closed_until() || id == it->last_failed) {
+            cost += unusable_cost;
         }
-        if (now < candidate->closed_until() || id == avoid) {
-            cost += 1e12; // only when nothing else is there
-        }
-        if (best == nullptr || cost < best_cost) {
-            best = candidate.get();
-            best_cost = cost;
+        choice& best = candidate->target().data_center == settings_.data_center ? local : remote;
+        if (best.target == nullptr || cost < best.cost) {
+            best = {candidate.get(), cost};
         }
     }
-    return best;
+    if (local.target == nullptr || remote.target == nullptr) {
+        return local.target != nullptr ? local.target : remote.target;
+    }
+    const bool in_time = local.cost < unusable_cost &&
+                         now + local.target->time_to_answer(now) <= it->arrived + it->route.target_latency;
+    return in_time || local.cost <= remote.cost * settings_.remote_cost_factor ? local.target : remote.target;
 }
 
 lane* dispatcher::choose(const job_ptr& it) {
     if (!it->keyed) {
-        return least_loaded(it->service, it->last_failed);
+        return least_loaded(it);
     }
     const auto* range = directory_->owner_of(it->service, *it->request.key);
     if (range == nullptr) {
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -33,8 +33,8 @@
     duration shed_backoff = std::chrono::milliseconds(40); ///< before a request that was shed is sent again
     /// Told to callers that are refused; about the time of a handover or of some requests.
     duration retry_after = std::chrono::milliseconds(250);
-    /// Upstreams of other data centres are taken when those of this one have this many times their load:
-    /// bytes between data centres are dear.
+    /// Upstreams of other data centres are taken when those of this one would answer late and have this many
+    /// times their load: bytes between data centres are dear.
     double remote_cost_factor = 3;
     /// An attempt with less time left than this cannot succeed and is not sent.
     duration min_attempt = std::chrono::milliseconds(15);
@@ -108,7 +108,8 @@
     /// Pumps a lane that opens by the passing of time alone.
     void pump_later(lane& target);
     lane* choose(const job_ptr& it);
-    lane* least_loaded(const std::string& service, const std::string& avoid);
+    /// For a service without keys: an upstream of this data centre while that one can answer in time.
+    lane* least_loaded(const job_ptr& it);
     void send(const job_ptr& it, lane& target);
     void on_exchange(const job_ptr& it, exchange_result result);
     void on_answer(const job_ptr& it, lane* from, app::http_response answer);
--- a/src/router/lane.cpp
+++ b/src/router/lane.cpp
@@ -135,12 +135,20 @@
            std::chrono::duration_cast<duration>(service_time_ * (1 + ahead / std::max(window_, min_window)));
 }
 
+double lane::work(time_point now) const {
+    const double here = in_flight_ + static_cast<double>(waiting_.size());
+    return now - load_at_ < load_validity ? std::max(here, static_cast<double>(load_.running + load_.waiting))
+                                          : here;
+}
+
+duration lane::time_to_answer(time_point now) const {
+    const double slots = std::max(target_.slots, 1);
+    const double ahead = std::max(work(now) + 1 - slots, 0.0);
+    return std::chrono::duration_cast<duration>(service_time_ * (1 + ahead / slots));
+}
+
 double lane::cost(time_point now) const {
-    double work = in_flight_ + static_cast<double>(waiting_.size());
-    if (now - load_at_ < load_validity) {
-        work = std::max(work, static_cast<double>(load_.running + load_.waiting));
-    }
-    return (work + 1) / std::max(target_.slots, 1) * static_cast<double>(service_time_.count());
+    return (work(now) + 1) / std::max(target_.slots, 1) * static_cast<double>(service_time_.count());
 }
 
 } // namespace kingcupseam::router
--- a/src/router/lane.h
+++ b/src/router/lane.h
@@ -54,6 +54,8 @@
     std::size_t waiting() const noexcept { return waiting_.size(); }
     /// Time until a request that arrives now would be answered, as far as is known.
     duration expected_time(std::int32_t priority, time_point now) const;
+    /// Time until a request that is sent now would be answered, by the load that is known.
+    duration time_to_answer(time_point now) const;
     duration service_time() const noexcept { return service_time_; }
     /// Lower is better: work ahead for each slot, weighted by the observed service time.
     double cost(time_point now) const;
@@ -61,6 +63,8 @@
     time_point closed_until() const noexcept { return closed_until_; }
 
 private:
+    /// Requests that run or wait at the upstream or wait here.
+    double work(time_point now) const;
     void learn(duration service_time);
     void adapt_window(const std::optional<reported_load>& load);
 
