Keep the limits of a configuration on headers and bodies

Cause: the entry's server had fixed limits, and those of the configuration were stored and not kept. Change: 431 and 413 beyond max_header_bytes and max_body_bytes; explain knows both. Not kept still: the time limits on headers and on idle connections, which RESTinio has once for a server. Test: a request beyond each limit reaches no upstream; fails before.

--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -23,7 +23,7 @@
     std::string_view text;
 };
 
-constexpr std::array<reason_text, 19> reasons{{
+constexpr std::array<reason_text, 21> reasons{{
     {"crowded", "it would have been answered after its target latency"},
     {"overtaken", "it waited behind more urgent work until too little time was left"},
     {"deadline", "not enough time was left for an attempt"},
@@ -37,6 +37,8 @@
     {"crashes-upstreams", "the same request was at work when three upstreams ended"},
     {"no-route", "no route matches its host and path"},
     {"no-key", "the service owns keys exclusively and the request names none"},
+    {"headers-too-long", "its headers are longer than the configuration allows"},
+    {"body-too-long", "its body is longer than the configuration allows"},
     {"malformed", "the request could not be read"},
     {"broken", "the connection to the upstream ended before the answer"},
     {"malformed-answer", "the upstream's answer had no signature, or was no answer"},
--- /dev/null
+++ b/src/router/control_node_reports.cpp
@@ -0,0 +1,135 @@
+#include "router/control_node.h"
+
+#include <directory_types.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+// What entries report, and what they are told of the control group and of each other.
+
+namespace kingcupseam::router {
+
+namespace {
+
+using transport::decode;
+using transport::encode;
+using transport::frame_type;
+
+// Work differs from request to request; about ten answers outweigh the former average.
+constexpr double kept_per_answer = 0.92;
+// Speeds relative to the median of the service. A slower one than this still gets a few keys, so that it is
+// seen when it recovers.
+constexpr double slowest_speed = 0.08;
+constexpr double fastest_speed = 3.0;
+
+} // namespace
+
+void control_node::on_load_report(const std::string& payload) {
+    if (!was_leading_) {
+        return;
+    }
+    const auto report = decode<wire::LoadReport>(payload);
+    for (const auto& it : report.keys) {
+        if (it.key >= 0 && it.key <= static_cast<std::int32_t>(directory::last_key)) {
+            loads_[it.service_name].add(static_cast<directory::key_number>(it.key), it.requests);
+        }
+    }
+    for (const auto& it : report.upstreams) {
+        if (it.answers <= 0) {
+            continue;
+        }
+        const double mean = static_cast<double>(it.service_time_us) / it.answers;
+        const double kept = std::pow(kept_per_answer, it.answers);
+        double& average = service_times_[it.upstream];
+        average = average <= 0 ? mean : average * kept + mean * (1 - kept);
+    }
+    update_speeds();
+    if (!report.crashed.empty() || !report.survived.empty()) {
+        on_crash_reports(report);
+    }
+}
+
+void control_node::on_crash_reports(const wire::LoadReport& report) {
+    for (const auto& it : report.crashed) {
+        const auto digest = static_cast<request_digest>(it.digest);
+        const bool refused = crashes_.on_crash({digest, {it.upstream, it.upstream_started_ms}}, steady_now());
+        spdlog::warn("upstream ended with a request upstream={} digest={:016x} refused={}", it.upstream,
+                     digest, refused);
+    }
+    for (const auto digest : report.survived) {
+        crashes_.on_survived(static_cast<request_digest>(digest));
+    }
+    broadcast_status();
+}
+
+void control_node::update_speeds() {
+    std::map<std::string, std::vector<double>> times; // by service
+    for (const auto& [id, it] : machine_.state()->upstreams) {
+        if (const auto known = service_times_.find(id); known != service_times_.end()) {
+            times[it.service].push_back(known->second);
+        }
+    }
+    for (auto& [service, it] : times) {
+        std::nth_element(it.begin(), it.begin() + static_cast<std::ptrdiff_t>(it.size() / 2), it.end());
+    }
+    for (const auto& [id, it] : machine_.state()->upstreams) {
+        const auto known = service_times_.find(id);
+        const auto condition = conditions_.find(id);
+        if (known != service_times_.end() && condition != conditions_.end()) {
+            const auto& sorted = times[it.service];
+            const double median = sorted[sorted.size() / 2];
+            condition->second.speed = std::clamp(median / known->second, slowest_speed, fastest_speed);
+        }
+    }
+}
+
+std::string control_node::status_payload() {
+    wire::ControlStatus status;
+    status.leads = was_leading_;
+    status.term = static_cast<std::int64_t>(group_->node().term());
+    for (const auto& it : group_->node().members().voters) {
+        status.control_instances.push_back(it.name);
+    }
+    for (const auto& [id, seen] : spares_) {
+        status.control_instances.push_back(id.name);
+    }
+    std::erase_if(entries_, [](const auto& it) {
+        const auto peer = it.second.lock();
+        return !peer || !peer->open();
+    });
+    for (const auto& watched : crashes_.list()) {
+        wire::WatchedRequest it;
+        it.digest = static_cast<std::int64_t>(watched.digest);
+        it.refused = watched.refused;
+        status.watched.push_back(it);
+    }
+    for (const auto& [name, it] : entries_) {
+        wire::EntryInstance entry;
+        entry.name = name;
+        if (const auto peer = it.lock()) {
+            entry.data_center = peer->peer().data_center;
+        }
+        status.entries.push_back(std::move(entry));
+    }
+    return encode(status);
+}
+
+void control_node::send_status(const std::shared_ptr<transport::connection>& to) {
+    to->send({frame_type::control_status, 0, status_payload()});
+}
+
+void control_node::broadcast_status() {
+    const std::string payload = status_payload();
+    if (payload == last_status_) {
+        return;
+    }
+    last_status_ = payload;
+    for (const auto& [name, it] : entries_) {
+        if (const auto peer = it.lock()) {
+            peer->send({frame_type::control_status, 0, payload});
+        }
+    }
+}
+
+} // namespace kingcupseam::router
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -15,8 +15,17 @@
 
 // Limit of a request whose caller states none and whose route has none.
 constexpr duration default_time_limit = std::chrono::seconds(30);
-// Above the cost of any lane: an upstream that failed is taken only when nothing else is there.
-constexpr double unusable_cost = 1e12;
+
+/// Size of the request line and the headers, with their separators.
+std::size_t header_bytes_of(const app::http_request& request) {
+    constexpr std::size_t separators = 4; // ": " and CRLF; two blanks and CRLF of the request line
+    constexpr std::string_view protocol = "HTTP/1.1";
+    std::size_t result = request.method.size() + request.target.size() + protocol.size() + separators;
+    for (const auto& [name, value] : request.headers) {
+        result += name.size() + value.size() + separators;
+    }
+    return result;
+}
 
 } // namespace
 
@@ -30,11 +39,13 @@
 void dispatcher::handle(app::http_request received, app::http_reply reply) {
     const time_point now = steady_now();
     const std::uint64_t connection = received.connection;
+    const std::size_t header_bytes = header_bytes_of(received);
     try {
         auto request = forms_.read_request(std::move(received));
         request.connection = connection;
         const auto it =
             std::make_shared<job>(context_, next_job_++, std::move(request), std::move(reply), now);
+        it->header_bytes = header_bytes;
         jobs_.emplace(it->id, it);
         begin(it);
     } catch (const invalid_input& e) {
@@ -52,6 +63,9 @@
         refuse(it, "no-configuration");
         return;
     }
+    if (exceeds_limits(it)) {
+        return;
+    }
     const auto path = std::string_view(it->request.target).substr(0, it->request.target.find('?'));
     const directory::route* route = routes_->match(it->request.host, path);
     if (route == nullptr) {
@@ -80,6 +94,22 @@
     place(it);
 }
 
+bool dispatcher::exceeds_limits(const job_ptr& it) {
+    const directory::caller_limits& limits = directory_->config->limits;
+    const auto exceeds = [](std::size_t size, std::int64_t limit) {
+        return limit > 0 && size > static_cast<std::size_t>(limit);
+    };
+    if (exceeds(it->header_bytes, limits.max_header_bytes)) {
+        fail(it, status_headers_too_long, "headers-too-long");
+        return true;
+    }
+    if (exceeds(it->request.body.size(), limits.max_body_bytes)) {
+        fail(it, status_body_too_long, "body-too-long");
+        return true;
+    }
+    return false;
+}
+
 void dispatcher::start_timer(const job_ptr& it, duration limit) {
     it->timer.expires_after(limit);
     it->timer.async_wait([this, it](const asio::error_code& ec) {
@@ -89,87 +119,6 @@
     });
 }
 
-bool dispatcher::has_key_ranges(const std::string& service) const {
-    if (!directory_->config) {
-        return false;
-    }
-    const auto known = directory_->config->services.find(service);
-    return known != directory_->config->services.end() && known->second.key_ranges;
-}
-
-lane_use dispatcher::use_of(const std::string& service) const {
-    return gates_ != nullptr && has_key_ranges(service) ? lane_use::gate : lane_use::shared;
-}
-
-const std::string* dispatcher::pick_service(const directory::route& route) {
-    if (route.targets.size() == 1) {
-        return &route.targets.front().service;
-    }
-    auto& credits = shares_[route.name];
-    const std::string* best = nullptr;
-    double total = 0;
-    for (const auto& it : route.targets) {
-        if (it.weight <= 0) {
-            continue;
-        }
-        total += it.weight;
-        double& credit = credits[it.service];
-        credit += it.weight;
-        if (best == nullptr || credit > credits[*best]) {
-            best = &it.service;
-        }
-    }
-    if (best != nullptr) {
-        credits[*best] -= total;
-    }
-    return best;
-}
-
-lane* dispatcher::least_loaded(const job_ptr& it) {
-    const time_point now = steady_now();
-    struct choice {
-        lane* target = nullptr;
-        double cost = 0;
-    };
-    choice local;
-    choice remote;
-    for (const auto& [id, candidate] : lanes_) {
-        if (candidate->target().service != it->service || !candidate->target().open()) {
-            continue;
-        }
-        double cost = candidate->cost(now);
-        if (now < candidate->closed_until() || id == it->last_failed) {
-            cost += unusable_cost;
-        }
-        choice& best = candidate->target().data_center == settings_.data_center ? local : remote;
-        if (best.target == nullptr || cost < best.cost) {
-            best = {candidate.get(), cost};
-        }
-    }
-    if (local.target == nullptr || remote.target == nullptr) {
-        return local.target != nullptr ? local.target : remote.target;
-    }
-    const bool in_time = local.cost < unusable_cost &&
-                         now + local.target->time_to_answer(now) <= it->arrived + it->route.target_latency;
-    return in_time || local.cost <= remote.cost * settings_.remote_cost_factor ? local.target : remote.target;
-}
-
-lane* dispatcher::choose(const job_ptr& it) {
-    if (!it->keyed) {
-        return least_loaded(it);
-    }
-    const auto* range = directory_->owner_of(it->service, *it->request.key);
-    if (range == nullptr) {
-        return nullptr;
-    }
-    const auto* owner = directory_->find(range->owner);
-    if (owner == nullptr || !owner->open()) {
-        return nullptr;
-    }
-    const auto found = lanes_.find(owner->life.id);
-    return found == lanes_.end() ? nullptr : found->second.get();
-}
-
 void dispatcher::place(const job_ptr& it) {
     lane* target = choose(it);
     if (target == nullptr) {
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -92,6 +92,8 @@
     using job_ptr = std::shared_ptr<job>;
 
     void begin(const job_ptr& it);
+    /// Ends a request whose headers or body are longer than the configuration allows.
+    bool exceeds_limits(const job_ptr& it);
     void start_timer(const job_ptr& it, duration limit);
     void place(const job_ptr& it);
     /// @returns false when the request is to be sent to the upstream from here
--- /dev/null
+++ b/src/router/dispatcher_choice.cpp
@@ -0,0 +1,96 @@
+#include "router/dispatcher.h"
+#include "router/job.h"
+
+// Which service, upstream and lane a request goes to.
+
+namespace kingcupseam::router {
+
+namespace {
+
+// Above the cost of any lane: an upstream that failed is taken only when nothing else is there.
+constexpr double unusable_cost = 1e12;
+
+} // namespace
+
+bool dispatcher::has_key_ranges(const std::string& service) const {
+    if (!directory_->config) {
+        return false;
+    }
+    const auto known = directory_->config->services.find(service);
+    return known != directory_->config->services.end() && known->second.key_ranges;
+}
+
+lane_use dispatcher::use_of(const std::string& service) const {
+    return gates_ != nullptr && has_key_ranges(service) ? lane_use::gate : lane_use::shared;
+}
+
+const std::string* dispatcher::pick_service(const directory::route& route) {
+    if (route.targets.size() == 1) {
+        return &route.targets.front().service;
+    }
+    auto& credits = shares_[route.name];
+    const std::string* best = nullptr;
+    double total = 0;
+    for (const auto& it : route.targets) {
+        if (it.weight <= 0) {
+            continue;
+        }
+        total += it.weight;
+        double& credit = credits[it.service];
+        credit += it.weight;
+        if (best == nullptr || credit > credits[*best]) {
+            best = &it.service;
+        }
+    }
+    if (best != nullptr) {
+        credits[*best] -= total;
+    }
+    return best;
+}
+
+lane* dispatcher::least_loaded(const job_ptr& it) {
+    const time_point now = steady_now();
+    struct choice {
+        lane* target = nullptr;
+        double cost = 0;
+    };
+    choice local;
+    choice remote;
+    for (const auto& [id, candidate] : lanes_) {
+        if (candidate->target().service != it->service || !candidate->target().open()) {
+            continue;
+        }
+        double cost = candidate->cost(now);
+        if (now < candidate->closed_until() || id == it->last_failed) {
+            cost += unusable_cost;
+        }
+        choice& best = candidate->target().data_center == settings_.data_center ? local : remote;
+        if (best.target == nullptr || cost < best.cost) {
+            best = {candidate.get(), cost};
+        }
+    }
+    if (local.target == nullptr || remote.target == nullptr) {
+        return local.target != nullptr ? local.target : remote.target;
+    }
+    const bool in_time = local.cost < unusable_cost &&
+                         now + local.target->time_to_answer(now) <= it->arrived + it->route.target_latency;
+    return in_time || local.cost <= remote.cost * settings_.remote_cost_factor ? local.target : remote.target;
+}
+
+lane* dispatcher::choose(const job_ptr& it) {
+    if (!it->keyed) {
+        return least_loaded(it);
+    }
+    const auto* range = directory_->owner_of(it->service, *it->request.key);
+    if (range == nullptr) {
+        return nullptr;
+    }
+    const auto* owner = directory_->find(range->owner);
+    if (owner == nullptr || !owner->open()) {
+        return nullptr;
+    }
+    const auto found = lanes_.find(owner->life.id);
+    return found == lanes_.end() ? nullptr : found->second.get();
+}
+
+} // namespace kingcupseam::router
--- a/src/router/job.h
+++ b/src/router/job.h
@@ -8,6 +8,8 @@
 
 inline constexpr int status_bad_request = 400;
 inline constexpr int status_not_found = 404;
+inline constexpr int status_body_too_long = 413;
+inline constexpr int status_headers_too_long = 431;
 inline constexpr int status_bad_gateway = 502;
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_gateway_timeout = 504;
@@ -22,6 +24,7 @@
     std::uint64_t id;
     caller_request request;
     app::http_reply reply;
+    std::size_t header_bytes = 0; ///< of the request line and the headers as the caller sent them
     time_point arrived;
     time_point deadline; ///< the caller's or the route's limit, whichever is first
     asio::steady_timer timer;
--- a/tests/platform/dispatcher_harness.h
+++ b/tests/platform/dispatcher_harness.h
@@ -89,6 +89,7 @@
         directory::snapshot state;
         auto config = std::make_shared<directory::configuration>();
         config->version = 1;
+        config->limits = limits;
         config->services["s"] = {"s", "/health", 10, keyed, {}};
         const auto add = [&](const char* name, const char* prefix, execution runs) {
             config->routes[name] = {name, "h", prefix,    runs, milliseconds(1500), milliseconds(400),
@@ -105,6 +106,11 @@
         under_test.set_directory(std::make_shared<const directory::snapshot>(state));
     }
 
+    void configure(const directory::caller_limits& wanted) {
+        limits = wanted;
+        configure();
+    }
+
     using answer_slot = std::optional<http_response>;
     void start(const std::string& target) { start(target, milliseconds(1000), answer); }
     void start(const std::string& target, duration limit, answer_slot& result) {
@@ -117,9 +123,14 @@
                            {"X-Request-Id", "id-1"},
                            {"X-Deadline-Ms", std::to_string(ms)},
                            {"X-Shard-Key", "5"}};
+        request.body = body;
         result.reset();
         under_test.handle(std::move(request), [&result](http_response it) { result = std::move(it); });
     }
+    http_response send(const std::string& target, const std::string& with_body) {
+        body = with_body;
+        return send(target);
+    }
     http_response send(const std::string& target) {
         start(target);
         run_until([this] { return answer.has_value(); });
@@ -142,6 +153,8 @@
     metrics::registry registry;
     router::dispatcher under_test;
     std::optional<http_response> answer;
+    directory::caller_limits limits;
+    std::string body; ///< of the requests that follow
 
 private:
     static router::dispatcher_options options() {
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -25,6 +25,19 @@
         CHECK(it.upstream.requests == 0);
     }
 
+    // Guards against limits of the operators that are accepted and not kept.
+    SUBCASE("a request beyond the limits of the configuration reaches no upstream") {
+        directory::caller_limits limits;
+        limits.max_header_bytes = 200;
+        limits.max_body_bytes = 10;
+        it.configure(limits);
+        CHECK(it.send("/safe/1").status == 200);
+        CHECK(it.send("/safe/" + std::string(200, 'x')).status == 431);
+        CHECK(it.send("/safe/1", std::string(10, 'x')).status == 200);
+        CHECK(it.send("/safe/1", std::string(11, 'x')).status == 413);
+        CHECK(it.upstream.requests == 2);
+    }
+
     // Guards against an entry that takes requests until it ends: one that came 5 s after the stop signal was
     // cut.
     SUBCASE("an entry that is about to end sends it elsewhere") {
