--- a/src/router/link_settings.h
+++ b/src/router/link_settings.h
@@ -11,7 +11,8 @@
     transport::link_options result;
     result.heartbeat_interval = std::chrono::milliseconds(400);
     result.heartbeat_timeout = std::chrono::milliseconds(1300);
-    result.connect_timeout = std::chrono::milliseconds(500);
+    // Three round trips between regions; a machine without power does not answer, and is back within seconds.
+    result.connect_timeout = std::chrono::milliseconds(250);
     result.redial_delay = std::chrono::milliseconds(150);
     result.compress = true;
     return result;
