Drop a release that could not be sent, and move others meanwhile

Change: the move is dropped unless an earlier release may have been carried out; nothing moves from an owner that the last call did not reach. Tests: fails before (15 releases in 2 s, nothing else moved). The lease model finds no double owner in 150 seeds.

--- a/include/kingcupseam/key_ranges.h
+++ b/include/kingcupseam/key_ranges.h
@@ -144,6 +144,7 @@
         directory::upstream_life target;
         std::uint64_t open_call = 0; ///< 0 when no release is in progress
         time_point next_call;
+        bool asked = false; ///< a release was sent: the upstream may have carried it out
         bool released = false;
         std::string handover;
     };
@@ -161,6 +162,7 @@
         time_point next_call;
         std::uint64_t open_call = 0;  ///< 0 when no grant is in progress
         int failed_calls = 0;         ///< grants in a row that were not done
+        bool unreachable = false;     ///< the last call could not be sent
         bool reassigning = false;     ///< another owner was proposed: not renewed any more
         std::vector<move_part> parts; ///< not renewed while there are some
         std::string handover;         ///< for the first grant
@@ -185,6 +187,8 @@
     bool is_silent(const std::string& id, const view& known, time_point now) const;
     bool is_lost(const lease& held, const view& known, time_point now) const;
     void on_grant_result(lease& held, call_result result, time_point now) const;
+    void on_release_result(lease& held, move_part& part, call_result result, const std::string& handover,
+                           time_point now) const;
     lease* find(const std::string& service, key_number key);
     std::vector<candidate> candidates(const std::string& service, const view& known, time_point now) const;
 
--- a/src/key_ranges/lease_keeper.cpp
+++ b/src/key_ranges/lease_keeper.cpp
@@ -258,7 +258,7 @@
     for (const auto& [first, it] : leases) {
         add_planned(it, owned);
         moving += it.parts.size();
-        if (it.open_call == 0 && it.parts.empty() && !it.reassigning && it.clean(now) &&
+        if (it.open_call == 0 && it.parts.empty() && !it.reassigning && !it.unreachable && it.clean(now) &&
             known.state.find(it.range.owner) != nullptr) {
             movable.push_back(it.range);
         }
@@ -268,7 +268,7 @@
     for (const auto& it :
          plan_moves(owned, movable, candidates(service, known, now), known.loads[service], planner)) {
         if (lease* held = find(service, it.first)) {
-            held->parts.push_back({it.first, it.last, it.target, 0, now, false, {}});
+            held->parts.push_back({it.first, it.last, it.target, 0, now, false, false, {}});
         }
     }
 }
@@ -333,19 +333,32 @@
         on_grant_result(*held, result, now);
         return;
     }
-    for (auto& part : held->parts) {
-        if (part.open_call == call_id) {
-            part.open_call = 0;
-            part.next_call = now + settings_.retry_delay;
-            part.released = result == call_result::done;
-            part.handover = handover;
-        }
+    const auto part = std::find_if(held->parts.begin(), held->parts.end(),
+                                   [&](const move_part& it) { return it.open_call == call_id; });
+    if (part == held->parts.end()) {
+        return;
+    }
+    on_release_result(*held, *part, result, handover, now);
+    if (result == call_result::not_sent && !part->asked) {
+        // The owner still holds it. Others may move meanwhile, and its lease is renewed again.
+        held->parts.erase(part);
     }
 }
 
+void lease_keeper::on_release_result(lease& held, move_part& part, call_result result,
+                                     const std::string& handover, time_point now) const {
+    part.open_call = 0;
+    part.next_call = now + settings_.retry_delay;
+    part.asked = part.asked || result != call_result::not_sent;
+    part.released = result == call_result::done;
+    part.handover = handover;
+    held.unreachable = result == call_result::not_sent;
+}
+
 void lease_keeper::on_grant_result(lease& held, call_result result, time_point now) const {
     held.open_call = 0;
     held.next_call = now + settings_.retry_delay;
+    held.unreachable = result == call_result::not_sent;
     if (result == call_result::done) {
         held.answered_until = now + bound();
         held.prior_until = {};
--- a/tests/key_ranges/lease_keeper_test.cpp
+++ b/tests/key_ranges/lease_keeper_test.cpp
@@ -53,7 +53,9 @@
                 if (it.kind == call_kind::release) {
                     releases.push_back(it);
                 }
-                if (it.kind == call_kind::grant || answers_releases) {
+                if (unreachable == it.target.id) {
+                    keeper.on_result(it.id, call_result::not_sent, {}, now);
+                } else if (it.kind == call_kind::grant || answers_releases) {
                     keeper.on_result(it.id, call_result::done, {}, now);
                 }
             }
@@ -67,6 +69,7 @@
     }
 
     bool answers_releases = false;
+    std::string unreachable; ///< id of the upstream that the leader cannot connect to
     key_number keys_each;
     time_point now{std::chrono::seconds(100)};
     directory::snapshot state;
@@ -93,6 +96,32 @@
     CHECK(second.front().target.id == "u1");
 }
 
+// Guards against moves from upstreams that the leader cannot reach: their releases were sent again and again
+// (incident inc-9654: 140 in 7 s), no other range could move meanwhile, and their leases were not renewed.
+TEST_CASE("a range whose release could not be sent stays with its owner and is renewed") {
+    calm_leader leader(4);
+    leader.answers_releases = true;
+    leader.add_load(0, directory::last_key, 1);
+    leader.run(std::chrono::seconds(12));
+    leader.unreachable = "u0";
+    leader.add_load(leader.first_key(0), leader.first_key(1) - 1, 8);
+    const auto tried = leader.run(std::chrono::seconds(2));
+    REQUIRE_FALSE(tried.empty());
+    CHECK(tried.size() <= 4);
+
+    SUBCASE("others move meanwhile") {
+        leader.add_load(leader.first_key(1), leader.first_key(2) - 1, 32);
+        const auto moved = leader.run(std::chrono::seconds(2));
+        CHECK(std::any_of(moved.begin(), moved.end(), [](const call& it) { return it.target.id == "u1"; }));
+    }
+    SUBCASE("it moves once the upstream can be reached again") {
+        leader.unreachable.clear();
+        const auto moved = leader.run(std::chrono::seconds(5));
+        CHECK(leader.state.ranges.at("s").size() > 4);
+        CHECK(std::any_of(moved.begin(), moved.end(), [](const call& it) { return it.target.id == "u0"; }));
+    }
+}
+
 TEST_CASE("a key never has two owners while leaders, upstreams and the network fail") {
     constexpr std::uint64_t seeds = 150;
     keeper_options settings;
