--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -23,7 +23,7 @@
     std::string_view text;
 };
 
-constexpr std::array<reason_text, 21> reasons{{
+constexpr std::array<reason_text, 19> reasons{{
     {"crowded", "it would have been answered after its target latency"},
     {"overtaken", "it waited behind more urgent work until too little time was left"},
     {"deadline", "not enough time was left for an attempt"},
@@ -39,13 +39,11 @@
     {"no-key", "the service owns keys exclusively and the request names none"},
     {"headers-too-long", "its headers are longer than the configuration allows"},
     {"body-too-long", "its body is longer than the configuration allows"},
-    {"malformed", "the request could not be read"},
     {"broken", "the connection to the upstream ended before the answer"},
     {"malformed-answer", "the upstream's answer had no signature, or was no answer"},
     {"timeout", "no answer of the upstream in time"},
     {"gate-lost", "the link to the gate of its upstream failed"},
     {"gate-timeout", "the gate of its upstream did not answer in time"},
-    {"answered", "the upstream's answer was passed on"},
 }};
 
 std::string_view meaning_of(const std::string& reason) {
