Control instances: log what held the control thread when it was late

Neither logs nor metrics told whether sending the directory, reports of entries and upstreams, or plans kept the control instances from their work. Change: a tick of the control thread that comes over 300 ms late logs the processor time of the thread by kind of work.

--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -23,6 +23,7 @@
 constexpr duration heartbeat_interval = std::chrono::milliseconds(120);
 constexpr duration election_timeout = std::chrono::milliseconds(700);
 constexpr duration tick_interval = std::chrono::milliseconds(40);
+constexpr duration late_tick = std::chrono::milliseconds(300);
 constexpr duration lease_manager_interval = std::chrono::milliseconds(80);
 constexpr duration join_interval = std::chrono::seconds(1);
 constexpr duration decay_interval = std::chrono::milliseconds(500);
@@ -34,8 +35,8 @@
 
 control_node::control_node(asio::io_context& context, process_settings settings, call_sender send_call)
     : context_(context), settings_(std::move(settings)), send_call_(std::move(send_call)),
-      state_machine_([this] { publisher_.publish(state_machine_.state()); }), publisher_(context),
-      tick_timer_(context) {
+      state_machine_([this] { publisher_.publish(state_machine_.state()); }),
+      publisher_(context, task_times_), tick_timer_(context) {
     open_group();
     const transport::peer_identity identity{self_, settings_.data_center};
     const auto handler = [this](const std::shared_ptr<transport::connection>& from,
@@ -114,9 +115,11 @@
 void control_node::on_frame(const std::shared_ptr<transport::connection>& from,
                             const transport::frame& received) {
     switch (received.type) {
-    case frame_type::consensus_message:
+    case frame_type::consensus_message: {
+        const task_times::scope measured(task_times_, control_task::consensus);
         group_->receive(app::from_wire(decode<wire::ConsensusMessage>(received.payload)));
         break;
+    }
     case frame_type::join_request:
         on_join(from, decode<wire::JoinRequest>(received.payload));
         break;
@@ -151,8 +154,18 @@
     }
 }
 
+void control_node::log_late_tick(time_point now) {
+    const duration gap = now - std::exchange(last_tick_, now);
+    if (gap > late_tick) {
+        spdlog::warn("control thread late gap_ms={} subscribers={} processor_ms=\"{}\"",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(gap).count(),
+                     publisher_.subscribers(), task_times_.take());
+    }
+}
+
 void control_node::tick() {
     const time_point now = steady_now();
+    log_late_tick(now);
     group_->tick();
     const bool leading = group_->leads();
     if (leading != leading_) {
@@ -163,6 +176,7 @@
     }
     if (now >= next_join_) {
         next_join_ = now + join_interval;
+        task_times_.take();
         wire::JoinRequest join;
         join.wants_vote = true;
         for (const auto& name : dialled_) {
@@ -226,6 +240,7 @@
 }
 
 void control_node::run_lease_manager(time_point now) {
+    const task_times::scope measured(task_times_, control_task::plan);
     auto effects = lease_manager_->tick({*state_machine_.state(), conditions_, key_loads_}, now);
     const std::uint64_t generation = lease_manager_generation_;
     if (!effects.command.empty()) {
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -7,6 +7,7 @@
 #include "router/poison_requests.h"
 #include "router/protocol_adapter.h"
 #include "router/settings.h"
+#include "router/task_times.h"
 
 #include <kingcupseam/consensus.h>
 #include <kingcupseam/key_ranges.h>
@@ -52,6 +53,8 @@
 
     void open_group();
     void tick();
+    /// Logs what the thread did when a tick came late: a late leader loses its leadership.
+    void log_late_tick(time_point now);
     void tick_leader(time_point now);
     void on_leadership_change(bool leading, time_point now);
     void run_lease_manager(time_point now);
@@ -80,6 +83,7 @@
     asio::io_context& context_;
     process_settings settings_;
     call_sender send_call_;
+    task_times task_times_;
     directory_state_machine state_machine_;
     directory_publisher publisher_;
     asio::steady_timer tick_timer_;
@@ -104,6 +108,7 @@
     time_point next_decay_;
     time_point next_join_;
     std::string last_status_;
+    time_point last_tick_ = steady_now();
 };
 
 } // namespace kingcupseam::router
--- a/src/router/control_node_orders.cpp
+++ b/src/router/control_node_orders.cpp
@@ -42,6 +42,7 @@
 }
 
 void control_node::announce(announcement report, on_accepted done) {
+    const task_times::scope measured(task_times_, control_task::announce);
     if (!group_->leads()) {
         forward_to_leader(
             order_announce, write_announcement(report),
@@ -148,6 +149,7 @@
 
 void control_node::on_order(const std::shared_ptr<transport::connection>& from,
                             const transport::frame& received) {
+    const task_times::scope measured(task_times_, control_task::order);
     const auto order = decode<wire::ControlOrder>(received.payload);
     const auto answer = [from,
                          correlation = received.correlation](const std::optional<std::string>& payload) {
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -29,6 +29,7 @@
     if (!leading_) {
         return;
     }
+    const task_times::scope measured(task_times_, control_task::report);
     const auto report = decode<wire::LoadReport>(payload);
     for (const auto& it : report.keys) {
         if (it.key >= 0 && it.key <= static_cast<std::int32_t>(directory::last_key)) {
--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -33,6 +33,7 @@
 }
 
 void directory_publisher::flush() {
+    const task_times::scope measured(task_times_, control_task::publish);
     std::map<const directory::snapshot*, std::string> encoded; // by base state, which most subscribers share
     for (auto it = subscribers_.begin(); it != subscribers_.end();) {
         const auto peer = it->second.peer.lock();
