Upstream client: take no answer that may belong to an earlier request

Cause: an upstream that writes an earlier refusal once more on a kept connection. The entry took any answer without an id for the answer to the request in progress, and did not see that a retry with the same id went over the connection of the refused attempt, so that the repeated refusal carried the right id. Callers would have been told that a request had not run which had, and the entry sent it again. An answer without a length and with another id was also taken, when its connection closed. Change: on a connection that carried an earlier request, an answer without an id ends the exchange as unmatched, and the request stays in doubt (502, reason unmatched-answer). A retry does not use the connections of earlier attempts that were answered. A request without an id gets a new connection. An idle connection with unread bytes, or one that the upstream has closed, is not used. The instances of the product are not affected: their attempts have ids of their own.

--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -23,7 +23,7 @@
     std::string_view text;
 };
 
-constexpr std::array<reason_text, 19> reasons{{
+constexpr std::array<reason_text, 20> reasons{{
     {"crowded", "it would have been answered after its target latency"},
     {"overtaken", "it waited behind more urgent work until too little time was left"},
     {"deadline", "not enough time was left for an attempt"},
@@ -41,6 +41,7 @@
     {"body-too-long", "its body is longer than the configuration allows"},
     {"broken", "the connection to the upstream ended before the answer"},
     {"malformed-answer", "the upstream's answer was malformed or had no signature"},
+    {"unmatched-answer", "the answer had no id, so it may have belonged to an earlier request"},
     {"timeout", "the upstream did not answer in time"},
     {"gate-lost", "the link to the gate of its upstream failed"},
     {"gate-timeout", "the gate of its upstream did not answer in time"},
--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -46,6 +46,7 @@
         return key_ranges::call_result::not_sent;
     case exchange_end::broken:
     case exchange_end::malformed:
+    case exchange_end::unmatched:
     case exchange_end::timeout:
         break;
     }
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -239,6 +239,9 @@
     request.bytes = protocol_.write_attempt(it->request, queue.target(), left);
     request.id = it->request.id;
     request.timeout = left;
+    // Without an id, the answer could not be told from a second answer to an earlier request.
+    request.new_connection = request.id.empty();
+    request.excluded_connections = it->used_connections;
     it->exchange_id = client_.send(std::move(request), [this, it](exchange_result result) {
         it->exchange_id = 0;
         if (requests_.contains(it->id)) {
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -18,12 +18,25 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// Reason for the log of a request that was sent and got no usable answer.
+const char* reason_of(exchange_end end) {
+    switch (end) {
+    case exchange_end::malformed:
+        return "malformed-answer";
+    case exchange_end::unmatched:
+        return "unmatched-answer";
+    default:
+        return "broken";
+    }
+}
+
 } // namespace
 
 void dispatcher::on_exchange(const request_ptr& it, exchange_result result) {
     const auto found = queues_.find(it->upstream);
     upstream_queue* const from = found == queues_.end() ? nullptr : found->second.get();
     if (result.end == exchange_end::answered) {
+        it->used_connections.push_back(result.connection);
         on_answer(it, from, std::move(result.answer));
     } else {
         if (from != nullptr) {
@@ -111,7 +124,7 @@
     if (retry_immediately(it, now)) {
         return;
     }
-    fail(it, status_bad_gateway, end == exchange_end::malformed ? "malformed-answer" : "broken");
+    fail(it, status_bad_gateway, reason_of(end));
 }
 
 bool dispatcher::retry_immediately(const request_ptr& it, time_point now) {
--- a/src/router/in_flight_request.h
+++ b/src/router/in_flight_request.h
@@ -3,6 +3,7 @@
 #include "router/dispatcher.h"
 
 #include <string>
+#include <vector>
 
 namespace kingcupseam::router {
 
@@ -43,8 +44,9 @@
     std::uint64_t gate_request_number = 0; ///< of the request at the gate; 0 when it is not there
     std::uint64_t peer_request_number = 0; ///< of a request from another entry, on its connection
     std::uint64_t exchange_id = 0;
-    std::string upstream;             ///< id of the upstream that it is sent to or queued for
-    std::string last_failed_upstream; ///< id of the upstream of the last failed attempt
+    std::vector<std::uint64_t> used_connections; ///< those that carried an answered attempt
+    std::string upstream;                        ///< id of the upstream that it is sent to or queued for
+    std::string last_failed_upstream;            ///< id of the upstream of the last failed attempt
     time_point sent_at;
 };
 
--- a/src/router/upstream_client.cpp
+++ b/src/router/upstream_client.cpp
@@ -31,7 +31,7 @@
     auto connection = request.new_connection ? nullptr : take_idle(request);
     if (!connection) {
         ++opened_;
-        connection = std::make_shared<upstream_connection>(*this, context_, request.target);
+        connection = std::make_shared<upstream_connection>(*this, context_, request.target, opened_);
     }
     active_.emplace(id, connection);
     connection->start(id, std::move(request), std::move(done));
@@ -58,20 +58,26 @@
 }
 
 upstream_client::connection_ptr upstream_client::take_idle(const exchange& request) {
-    const auto it = idle_.find(request.target);
+    const auto found = idle_.find(request.target);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    auto& connections = found->second;
+    const auto& excluded = request.excluded_connections;
     const time_point now = steady_now();
-    while (it != idle_.end() && !it->second.empty()) {
-        auto candidate = it->second.back();
-        if (candidate->open() && now - candidate->idle_since() <= request.max_idle &&
-            now < candidate->idle_until()) {
-            it->second.pop_back();
+    for (std::size_t i = connections.size(); i-- > 0;) {
+        const auto candidate = connections[i];
+        if (candidate->open() && now < candidate->idle_until() && candidate->quiet()) {
+            if (now - candidate->idle_since() > request.max_idle) {
+                return nullptr; // the remaining connections have been idle even longer
+            }
+            if (std::find(excluded.begin(), excluded.end(), candidate->number()) != excluded.end()) {
+                continue;
+            }
+            connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
             return candidate;
         }
-        if (candidate->open() && now < candidate->idle_until()) {
-            // Idle too long for this request only; the remaining connections have been idle even longer.
-            return nullptr;
-        }
-        it->second.pop_back();
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
         candidate->reset();
     }
     return nullptr;
--- a/src/router/upstream_client.h
+++ b/src/router/upstream_client.h
@@ -22,12 +22,14 @@
     not_sent,  ///< nothing was written to a connection: the upstream cannot have received it
     broken,    ///< the connection ended before the answer was complete
     malformed, ///< the bytes received are not an HTTP answer
+    unmatched, ///< an answer without an id, which may be a second answer to an earlier request
     timeout,   ///< sent, but the answer was not complete in time
 };
 
 struct exchange_result {
     exchange_end end = exchange_end::not_sent;
-    app::http_response answer; ///< when answered
+    app::http_response answer;    ///< when answered
+    std::uint64_t connection = 0; ///< number of the connection that carried it
 };
 
 struct exchange {
@@ -37,6 +39,9 @@
     duration timeout{};
     bool new_connection = false;
     duration max_idle = std::chrono::seconds(60); ///< longest idle time of a connection that is reused
+    /// Connections that carried an earlier attempt with the same id: a repeated answer to that attempt could
+    /// not be told from the answer to this one.
+    std::vector<std::uint64_t> excluded_connections;
 };
 
 struct upstream_client_options {
--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -2,7 +2,10 @@
 
 #include "transport/socket_options.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -36,8 +39,8 @@
 } // namespace
 
 upstream_connection::upstream_connection(upstream_client& owner, asio::io_context& context,
-                                         endpoint_address target)
-    : owner_(owner), socket_(context), timer_(context), target_(std::move(target)),
+                                         endpoint_address target, std::uint64_t number)
+    : owner_(owner), number_(number), socket_(context), timer_(context), target_(std::move(target)),
       parser_(owner.settings_.max_answer_bytes) {}
 
 void upstream_connection::start(std::uint64_t exchange_id, exchange request, upstream_client::on_end done) {
@@ -45,6 +48,7 @@
     request_ = std::move(request);
     done_ = std::move(done);
     sent_ = false;
+    reused_ = open_;
     parser_.reset();
     timer_.expires_after(open_ ? request_.timeout
                                : std::min(request_.timeout, owner_.settings_.connect_timeout));
@@ -100,6 +104,12 @@
                       });
 }
 
+bool upstream_connection::quiet() {
+    char byte = 0;
+    const auto n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void upstream_connection::read() {
     reading_ = true;
     socket_.async_read_some(asio::buffer(input_),
@@ -120,7 +130,8 @@
     }
     if (ec) {
         const bool ended = ec == asio::error::eof && parser_.started() &&
-                           parser_.finish() == answer_parser::status::complete;
+                           parser_.finish() == answer_parser::status::complete &&
+                           owner_of_answer() == answer_owner::this_request;
         if (ended) {
             open_ = false;
             on_answer(false);
@@ -144,19 +155,35 @@
             break;
         }
         bytes.remove_prefix(std::min(used, bytes.size()));
-        const std::string id = parser_.answer().header(owner_.settings_.id_header);
-        if (!request_.id.empty() && !id.empty() && id != request_.id) {
-            // A second answer to an earlier request; the one for this request may follow.
+        const answer_owner owner = owner_of_answer();
+        if (owner == answer_owner::other_request) {
+            // The answer to this request may follow.
             stale_answer_ = true;
             parser_.reset();
             continue;
         }
+        if (owner == answer_owner::unknown) {
+            finish(exchange_end::unmatched);
+            return;
+        }
         on_answer(!bytes.empty());
         return;
     }
     read();
 }
 
+upstream_connection::answer_owner upstream_connection::owner_of_answer() {
+    const std::string id = parser_.answer().header(owner_.settings_.id_header);
+    if (request_.id.empty() || id == request_.id) {
+        return answer_owner::this_request;
+    }
+    if (!id.empty()) {
+        return answer_owner::other_request;
+    }
+    // On a connection that carried earlier requests it may be a second answer to one of them.
+    return reused_ ? answer_owner::unknown : answer_owner::this_request;
+}
+
 void upstream_connection::on_answer(bool extra_bytes) {
     const bool reusable = open_ && parser_.keep_alive() && !extra_bytes && !writing_ && !stale_answer_;
     const auto limit = keep_alive_timeout(parser_.answer());
@@ -168,7 +195,7 @@
     timer_.cancel();
     owner_.on_exchange_end(std::exchange(exchange_id_, 0));
     keep_or_close(reusable && idle_until_ > idle_since_);
-    done({exchange_end::answered, std::move(answer)});
+    done({exchange_end::answered, std::move(answer), number_});
 }
 
 void upstream_connection::keep_or_close(bool reusable) {
@@ -189,7 +216,7 @@
     owner_.on_exchange_end(std::exchange(exchange_id_, 0));
     reset();
     if (done) {
-        done({end, std::move(answer)});
+        done({end, std::move(answer), number_});
     }
 }
 
--- a/tests/router/upstream_client_test.cpp
+++ b/tests/router/upstream_client_test.cpp
@@ -124,6 +124,31 @@
     CHECK(it.upstream.connections == 2); // the connection is not reused after a stale answer
 }
 
+// Guards against taking a second answer to an earlier request for the answer to this one.
+TEST_CASE("an answer is taken only when it belongs to the request for certain") {
+    const std::string without_id = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
+    SUBCASE("without an id on a new connection it does") {
+        harness it({without_id});
+        CHECK(it.send(it.request()).end == exchange_end::answered);
+    }
+    SUBCASE("without an id on a kept connection it may belong to an earlier request") {
+        harness it({ok_answer, without_id});
+        it.send(it.request());
+        CHECK(it.send(it.request()).end == exchange_end::unmatched);
+    }
+    SUBCASE("with another id and without a length it belongs to an earlier request") {
+        harness it({"HTTP/1.1 200 OK\r\nX-Id: old\r\n\r\nold"});
+        CHECK(it.send(it.request()).end == exchange_end::broken);
+    }
+    SUBCASE("a connection that carried an attempt with the same id is not used") {
+        harness it({ok_answer, ok_answer});
+        auto again = it.request();
+        again.excluded_connections = {it.send(it.request()).connection};
+        CHECK(it.send(again).end == exchange_end::answered);
+        CHECK(it.upstream.connections == 2);
+    }
+}
+
 // Guards against taking the extra bytes for the answer to the next request.
 TEST_CASE("extra bytes after a complete answer close the connection") {
     harness it({ok_answer + "more", ok_answer});
--- a/tests/support/process_cluster.h
+++ b/tests/support/process_cluster.h
@@ -86,6 +86,7 @@
         }
     }
     bool running() { return !wait(duration::zero()); }
+    pid_t pid() const noexcept { return pid_; }
 
 private:
     pid_t pid_ = 0;
