Test: an answer cut off within its head

A report from another operator: an upstream stopped in the head of its answer and closed, and callers got a 200 with an empty body. Each request is answered 502 and runs once.

--- a/tests/platform/entry_fault_test.cpp
+++ b/tests/platform/entry_fault_test.cpp
@@ -132,4 +132,39 @@
     }
 }
 
+TEST_CASE("an answer that is cut off within its head reaches no caller as a whole one") {
+    scripted_upstream script;
+    entry_processes it([&](const connection_ptr& peer, int) { script(peer); });
+    std::string framing;
+    SUBCASE("with a length") {
+        framing = "Content-Length: 4\r\n";
+    }
+    SUBCASE("with a length of zero") {
+        framing = "Content-Length: 0\r\n";
+    }
+    SUBCASE("in chunks") {
+        framing = "Transfer-Encoding: chunked\r\n";
+    }
+    SUBCASE("without a length") {}
+    for (const bool reset : {false, true}) {
+        for (std::size_t n = 0; n < head_of_answer("request-100", framing).size(); ++n) {
+            CAPTURE(reset);
+            CAPTURE(n);
+            // Every other cut is on a kept connection.
+            const std::string connection = n % 2 == 0 ? "" : "Connection: close\r\n";
+            script.serve = [&](const connection_ptr& peer, const std::string& id) {
+                peer->write(head_of_answer(id, connection + "Content-Length: 4\r\n") + "body");
+            };
+            CHECK(it.request_status("/unsafe/1") == 200);
+            script.serve = [&](const connection_ptr& peer, const std::string& id) {
+                peer->write(head_of_answer(id, framing).substr(0, n));
+                it.run_after(milliseconds(1), [peer, reset] { reset ? peer->reset() : peer->close(); });
+            };
+            const auto cut = it.start_request("/unsafe/2");
+            CHECK(it.status_of(cut) == 502);
+            CHECK(script.requests[cut->id] == 1);
+        }
+    }
+}
+
 } // namespace kingcupseam::platform::test
