Upstream client: bound the memory of unfinished answers together

Cause: an upstream that sends bytes without end. Heads were bounded in bytes by the parser, but not in the number of headers, which take more memory than bytes. Change: all unfinished answers together may take 64 MiB; beyond it the longest one ends as malformed, so that the others can end. A declared length above the limit ends the answer at its head, as do more than 256 headers.

--- a/src/router/answer_parser.cpp
+++ b/src/router/answer_parser.cpp
@@ -1,9 +1,15 @@
 #include "router/answer_parser.h"
 
+#include <cstdint>
+#include <limits>
+
 namespace kingcupseam::router {
 
 namespace {
 
+// The library limits the bytes of a head; short headers take far more memory than bytes.
+constexpr std::size_t max_headers = 256;
+
 answer_parser& parser_of(http_parser* parser) {
     return *static_cast<answer_parser*>(parser->data);
 }
@@ -54,6 +60,9 @@
 int answer_parser::on_field(http_parser* parser, const char* at, std::size_t n) {
     auto& it = parser_of(parser);
     if (it.in_value_ || it.answer_.headers.empty()) {
+        if (it.answer_.headers.size() == max_headers) {
+            return 1;
+        }
         it.answer_.headers.emplace_back();
         it.in_value_ = false;
     }
@@ -72,7 +81,10 @@
     auto& it = parser_of(parser);
     it.answer_.status = static_cast<int>(parser->status_code);
     it.keep_alive_ = http_should_keep_alive(parser) != 0;
-    return 0;
+    constexpr int stop = -1; // 1 and 2 have other meanings for the library
+    constexpr std::uint64_t no_length = std::numeric_limits<std::uint64_t>::max();
+    const std::uint64_t length = parser->content_length;
+    return length != no_length && length > it.max_body_bytes_ ? stop : 0;
 }
 
 int answer_parser::on_body(http_parser* parser, const char* at, std::size_t n) {
--- a/src/router/upstream_client.cpp
+++ b/src/router/upstream_client.cpp
@@ -83,6 +83,20 @@
     return nullptr;
 }
 
+void upstream_client::on_buffered(std::ptrdiff_t bytes) {
+    buffered_bytes_ += bytes;
+    if (buffered_bytes_ <= static_cast<std::ptrdiff_t>(settings_.max_answer_bytes)) {
+        return;
+    }
+    const auto longest = std::max_element(active_.begin(), active_.end(), [](const auto& a, const auto& b) {
+        return a.second->buffered_bytes() < b.second->buffered_bytes();
+    });
+    if (longest != active_.end()) {
+        const connection_ptr ended = longest->second;
+        ended->reject_answer();
+    }
+}
+
 void upstream_client::on_idle(const connection_ptr& connection) {
     idle_[connection->target()].push_back(connection);
     schedule_sweep();
--- a/src/router/upstream_client.h
+++ b/src/router/upstream_client.h
@@ -50,6 +50,8 @@
     /// Idle connections are closed after this time, or earlier if the upstream sends a shorter Keep-Alive
     /// timeout.
     duration idle_timeout = std::chrono::seconds(8);
+    /// Of the body of one answer, and of all unfinished answers together: beyond it, the longest one ends as
+    /// malformed.
     std::size_t max_answer_bytes = 64 * 1024 * 1024;
 };
 
@@ -84,6 +86,8 @@
     void on_idle(const connection_ptr& connection);
     void on_idle_closed(const connection_ptr& connection);
     void on_exchange_end(std::uint64_t id) { active_.erase(id); }
+    /// Counts bytes that unfinished answers take up (or, negative, no longer do).
+    void on_buffered(std::ptrdiff_t bytes);
     void schedule_sweep();
     void sweep();
 
@@ -93,6 +97,7 @@
     bool sweeping_ = false;
     std::uint64_t next_id_ = 1;
     std::uint64_t opened_ = 0;
+    std::ptrdiff_t buffered_bytes_ = 0; ///< of unfinished answers
     std::map<endpoint_address, std::vector<connection_ptr>> idle_;
     std::unordered_map<std::uint64_t, connection_ptr> active_;
 };
--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -169,7 +169,18 @@
         on_answer(!bytes.empty());
         return;
     }
-    read();
+    count_buffered(parser_.answer().body.size());
+    if (!closed_) {
+        read();
+    }
+}
+
+void upstream_connection::count_buffered(std::size_t bytes) {
+    const auto change = static_cast<std::ptrdiff_t>(bytes) - static_cast<std::ptrdiff_t>(buffered_bytes_);
+    buffered_bytes_ = bytes;
+    if (change != 0) {
+        owner_.on_buffered(change);
+    }
 }
 
 upstream_connection::answer_owner upstream_connection::owner_of_answer() {
@@ -190,6 +201,7 @@
     idle_since_ = steady_now();
     idle_until_ = idle_since_ + std::min(limit ? *limit - idle_margin : owner_.settings_.idle_timeout,
                                          owner_.settings_.idle_timeout);
+    count_buffered(0);
     const auto done = std::exchange(done_, nullptr);
     auto answer = std::move(parser_.answer());
     timer_.cancel();
@@ -227,6 +239,8 @@
     closed_ = true;
     open_ = false;
     done_ = nullptr;
+    parser_.reset(); // frees what was received of an unfinished answer
+    count_buffered(0);
     asio::error_code ec;
     timer_.cancel(ec);
     socket_.set_option(asio::socket_base::linger(true, 0), ec);
--- a/src/router/upstream_connection.h
+++ b/src/router/upstream_connection.h
@@ -24,6 +24,10 @@
     bool open() const noexcept { return open_; }
     /// True when the peer has neither closed the idle connection nor sent bytes that no request asked for.
     bool quiet();
+    /// Bytes of the body received so far of an unfinished answer.
+    std::size_t buffered_bytes() const noexcept { return buffered_bytes_; }
+    /// Ends the exchange as malformed.
+    void reject_answer() { finish(exchange_end::malformed); }
 
 private:
     enum class answer_owner { this_request, other_request, unknown };
@@ -36,6 +40,7 @@
     /// The request that the received answer belongs to.
     answer_owner owner_of_answer();
     void on_answer(bool extra_bytes);
+    void count_buffered(std::size_t bytes);
     void on_timer();
     void keep_or_close(bool reusable);
     void finish(exchange_end end, app::http_response answer = {});
@@ -47,6 +52,7 @@
     endpoint_address target_;
     answer_parser parser_;
     std::array<char, 16 * 1024> input_{};
+    std::size_t buffered_bytes_ = 0;
     exchange request_;
     std::uint64_t exchange_id_ = 0;
     upstream_client::on_end done_;
