Upstream client: skip interim answers

Cause: the entry took a 1xx answer, such as 100 Continue, for the answer to the request and passed it on; an upstream that sends them without end kept callers waiting beyond the deadline. Change: answers with a status of 1xx are dropped; the final one follows on the same connection.

--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -155,6 +155,10 @@
             break;
         }
         bytes.remove_prefix(std::min(used, bytes.size()));
+        if (parser_.answer().status / 100 == 1) {
+            parser_.reset(); // an interim answer; the final one follows
+            continue;
+        }
         const answer_owner owner = owner_of_answer();
         if (owner == answer_owner::other_request) {
             // The answer to this request may follow.
--- a/tests/platform/entry_fault_test.cpp
+++ b/tests/platform/entry_fault_test.cpp
@@ -229,6 +229,9 @@
         begin = "HTTP/1.1 200 OK\r\n";
         unit = "X-Value: x\r\n";
     }
+    SUBCASE("interim answers") {
+        unit = "HTTP/1.1 100 Continue\r\n\r\n";
+    }
     SUBCASE("answers to an earlier request") {
         unit = whole_answer("earlier");
     }
--- a/tests/router/upstream_client_test.cpp
+++ b/tests/router/upstream_client_test.cpp
@@ -149,6 +149,15 @@
     }
 }
 
+// Guards against passing on "100 Continue" as the answer.
+TEST_CASE("an interim answer is not the answer") {
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    harness it({interim + interim + ok_answer, ok_answer});
+    CHECK(it.send(it.request()).answer.body == "hi");
+    CHECK(it.send(it.request()).answer.body == "hi");
+    CHECK(it.upstream.connections == 1);
+}
+
 // Guards against taking the extra bytes for the answer to the next request.
 TEST_CASE("extra bytes after a complete answer close the connection") {
     harness it({ok_answer + "more", ok_answer});
