Upstream client: 32 MiB for unfinished answers

Cause: with 64 MiB the test of bytes without end passed twice and then measured 185 MB against its bound of 160 MB: growing bodies are copied, and the allocator keeps freed blocks. Change: 32 MiB together, which is also the largest answer.

--- a/src/router/upstream_client.h
+++ b/src/router/upstream_client.h
@@ -52,7 +52,7 @@
     duration idle_timeout = std::chrono::seconds(8);
     /// Of the body of one answer, and of all unfinished answers together: beyond it, the longest one ends as
     /// malformed.
-    std::size_t max_answer_bytes = 64 * 1024 * 1024;
+    std::size_t max_answer_bytes = 32 * 1024 * 1024;
 };
 
 class upstream_connection;
