Control instances: send entries that change their source only what they lack

Cause: after a change of leader, every entry subscribed to the next one and got the whole directory, encoded again for each entry, also when it held the same or a newer one; an entry that was ahead refused it and subscribed again after 200 ms. Change: a control instance keeps the last 64 directories and sends the difference from the one that the entry holds. An entry that is ahead gets nothing until the instance has caught up. One turn of the thread sends at most 8 updates, so that heartbeats of the leader go out between them. Result: the new tests failed before (whole directory of 82 KB in place of the difference; 89 updates in one turn).

--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -7,50 +7,76 @@
 // Changes within this interval are sent in one update: after a restart every upstream registers within a
 // second.
 constexpr duration batch_interval = std::chrono::milliseconds(10);
+// Updates that are sent before other work of the thread goes on: the compression of a large one for all
+// entries may take longer than the leader's lease.
+constexpr std::size_t max_updates_per_turn = 8;
+// More changes than are made while the entries subscribe to another control instance.
+constexpr std::size_t max_history = 64;
 
 } // namespace
 
 void directory_publisher::subscribe(const std::shared_ptr<transport::connection>& peer,
                                     std::uint64_t known_index) {
-    const bool same = known_index != 0 && known_index == current_->index;
-    subscribers_[peer->peer().id.name] = {peer, same ? current_ : nullptr};
-    flush();
+    subscribers_[peer->peer().id.name] = {peer, known_index};
+    schedule_flush(batch_interval);
 }
 
 void directory_publisher::publish(directory::snapshot_ptr current) {
     current_ = std::move(current);
+    updates_.clear();
+    history_.insert_or_assign(current_->index, current_);
+    while (history_.size() > max_history) {
+        history_.erase(history_.begin());
+    }
+    schedule_flush(batch_interval);
+}
+
+void directory_publisher::schedule_flush(duration delay) {
     if (scheduled_) {
         return;
     }
     scheduled_ = true;
-    timer_.expires_after(batch_interval);
+    timer_.expires_after(delay);
     timer_.async_wait([this](const asio::error_code& ec) {
         if (!ec) {
             scheduled_ = false;
-            flush();
+            if (flush()) {
+                schedule_flush(duration::zero());
+            }
         }
     });
 }
 
-void directory_publisher::flush() {
+const std::string& directory_publisher::update_from(std::uint64_t known_index) {
+    const auto known = history_.find(known_index);
+    const auto* base = known == history_.end() ? nullptr : known->second.get();
+    auto& bytes = updates_[base == nullptr ? 0 : known_index];
+    if (bytes.empty()) {
+        bytes = directory::encode_difference(base, *current_);
+    }
+    return bytes;
+}
+
+bool directory_publisher::flush() {
     const task_times::scope measured(task_times_, control_task::publish);
-    std::map<const directory::snapshot*, std::string> encoded; // by base state, which most subscribers share
+    std::size_t sent = 0;
     for (auto it = subscribers_.begin(); it != subscribers_.end();) {
         const auto peer = it->second.peer.lock();
         if (!peer || !peer->open()) {
             it = subscribers_.erase(it);
             continue;
         }
-        if (it->second.sent != current_ && current_->index > 0) {
-            auto& bytes = encoded[it->second.sent.get()];
-            if (bytes.empty()) {
-                bytes = directory::encode_difference(it->second.sent.get(), *current_);
+        if (it->second.known_index < current_->index) {
+            if (sent == max_updates_per_turn) {
+                return true;
             }
-            peer->send({transport::frame_type::directory_update, 0, bytes});
-            it->second.sent = current_;
+            peer->send({transport::frame_type::directory_update, 0, update_from(it->second.known_index)});
+            it->second.known_index = current_->index;
+            ++sent;
         }
         ++it;
     }
+    return false;
 }
 
 } // namespace kingcupseam::router
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -7,19 +7,22 @@
 
 #include <asio.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 
 namespace kingcupseam::router {
 
-/// Sends the directory to subscribed entries: the whole state once, then differences.
+/// Sends the directory to subscribed entries: the whole state to those that hold none or a long outdated one,
+/// otherwise differences.
 class directory_publisher {
 public:
     directory_publisher(asio::io_context& context, task_times& measured)
         : timer_(context), task_times_(measured) {}
 
-    /// @param known_index index of the subscriber's directory; 0 when it has none
+    /// @param known_index index of the subscriber's directory; 0 when it has none. A subscriber that is
+    /// ahead, as its former source was, gets nothing until publish() has passed this index.
     void subscribe(const std::shared_ptr<transport::connection>& peer, std::uint64_t known_index);
     void publish(directory::snapshot_ptr current);
     std::size_t subscribers() const noexcept { return subscribers_.size(); }
@@ -27,15 +30,21 @@
 private:
     struct subscriber {
         std::weak_ptr<transport::connection> peer;
-        directory::snapshot_ptr sent; ///< null before the first update
+        std::uint64_t known_index = 0; ///< of the directory that it holds or that was sent
     };
 
-    void flush();
+    void schedule_flush(duration delay);
+    /// Sends updates to some subscribers. @returns true when others still wait for theirs
+    bool flush();
+    /// The update from the directory of that index to the current one.
+    const std::string& update_from(std::uint64_t known_index);
 
     asio::steady_timer timer_;
     task_times& task_times_;
     bool scheduled_ = false;
     directory::snapshot_ptr current_ = std::make_shared<const directory::snapshot>();
+    std::map<std::uint64_t, directory::snapshot_ptr> history_; ///< recent directories by index
+    std::map<std::uint64_t, std::string> updates_;  ///< to the current directory, by index of the known one
     std::map<std::string, subscriber> subscribers_; ///< by instance name
 };
 
--- /dev/null
+++ b/tests/router/directory_publisher_test.cpp
@@ -0,0 +1,157 @@
+#include "router/directory_publisher.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcupseam::router {
+
+namespace {
+
+/// An entry that applies the updates that it gets.
+class fake_entry : public transport::connection {
+public:
+    explicit fake_entry(const std::string& name) : peer_{{name, 1}, "d"} {}
+    void send(transport::frame outgoing) override {
+        bytes += outgoing.payload.size();
+        ++updates;
+        held = directory::apply_difference(held, outgoing.payload);
+    }
+    const transport::peer_identity& peer() const override { return peer_; }
+    bool open() const override { return true; }
+
+    directory::snapshot held;
+    std::size_t bytes = 0;
+    int updates = 0;
+
+private:
+    transport::peer_identity peer_;
+};
+
+/// States of a directory whose configuration has many routes; each state adds an upstream.
+std::vector<directory::snapshot_ptr> make_states(std::uint64_t n) {
+    auto config = std::make_shared<directory::configuration>();
+    config->version = 1;
+    for (int i = 0; i < 1500; ++i) {
+        const std::string name = "route-" + std::to_string(i);
+        config->routes[name] = {name, "h", "/" + name + "/", execution::idempotent, {}, {}, 1, 2, {{"s", 1}}};
+    }
+    std::vector<directory::snapshot_ptr> result;
+    directory::snapshot state;
+    state.config = config;
+    for (std::uint64_t index = 1; index <= n; ++index) {
+        const std::string id = "u" + std::to_string(index);
+        state.index = index;
+        state.upstreams[id] = {{id, 1}, "s", "d", {"127.0.0.1", 80}, 2, false, false};
+        result.push_back(std::make_shared<const directory::snapshot>(state));
+    }
+    return result;
+}
+
+struct harness {
+    directory_publisher& publisher(std::size_t n) { return *publishers.at(n); }
+    void run() {
+        context.run_for(std::chrono::milliseconds(60));
+        context.restart();
+    }
+
+    asio::io_context context;
+    task_times times;
+    std::vector<std::unique_ptr<directory_publisher>> publishers;
+    harness() {
+        for (int i = 0; i < 2; ++i) {
+            publishers.push_back(std::make_unique<directory_publisher>(context, times));
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a change of leader that sends the whole directory to every entry: the next leader lost its
+// lease meanwhile.
+TEST_CASE("an entry that changes to another control instance gets only what it lacks") {
+    harness it;
+    const auto states = make_states(200);
+    const auto entry = std::make_shared<fake_entry>("entry");
+    for (std::size_t i = 0; i < 100; ++i) {
+        it.publisher(0).publish(states[i]);
+        it.publisher(1).publish(states[i]);
+    }
+    it.publisher(0).subscribe(entry, 0);
+    it.run();
+    REQUIRE(entry->held.index == 100);
+    const std::size_t whole = entry->bytes;
+    entry->bytes = 0;
+
+    SUBCASE("when the other one has the same directory") {
+        it.publisher(1).subscribe(entry, entry->held.index);
+        it.run();
+        CHECK(entry->updates == 1);
+        it.publisher(1).publish(states[100]);
+        it.run();
+        CHECK(entry->held.upstreams == states[100]->upstreams);
+    }
+    SUBCASE("when the other one has a newer directory") {
+        for (std::size_t i = 100; i < 120; ++i) {
+            it.publisher(1).publish(states[i]);
+        }
+        it.publisher(1).subscribe(entry, entry->held.index);
+        it.run();
+        CHECK(entry->held.index == 120);
+        CHECK(entry->held.upstreams == states[119]->upstreams);
+        CHECK(entry->bytes < whole / 20);
+    }
+    SUBCASE("when the other one lags behind") {
+        for (std::size_t i = 100; i < 110; ++i) {
+            it.publisher(0).publish(states[i]);
+        }
+        it.run();
+        REQUIRE(entry->held.index == 110);
+        entry->bytes = 0;
+        it.publisher(1).subscribe(entry, entry->held.index);
+        it.run();
+        CHECK(entry->bytes == 0);
+        for (std::size_t i = 100; i < 115; ++i) {
+            it.publisher(1).publish(states[i]);
+        }
+        it.run();
+        CHECK(entry->held.index == 115);
+        CHECK(entry->held.upstreams == states[114]->upstreams);
+        CHECK(entry->bytes < whole / 20);
+    }
+    SUBCASE("but the whole directory when its own is long outdated") {
+        for (std::size_t i = 100; i < 200; ++i) {
+            it.publisher(1).publish(states[i]);
+        }
+        it.publisher(1).subscribe(entry, entry->held.index);
+        it.run();
+        CHECK(entry->held.upstreams == states[199]->upstreams);
+    }
+}
+
+// Guards against a leader that loses its lease while it sends a large update to all entries.
+TEST_CASE("other work goes on while an update is sent to many entries") {
+    harness it;
+    const auto states = make_states(1);
+    std::vector<std::shared_ptr<fake_entry>> entries;
+    for (int i = 0; i < 89; ++i) {
+        entries.push_back(std::make_shared<fake_entry>("entry" + std::to_string(i)));
+        it.publisher(0).subscribe(entries.back(), 0);
+    }
+    it.publisher(0).publish(states[0]);
+    const auto updated = [&] {
+        return std::count_if(entries.begin(), entries.end(), [](const auto& e) { return e->updates > 0; });
+    };
+    auto before = updated();
+    while (it.context.run_one_for(std::chrono::milliseconds(60)) > 0) {
+        const auto now = updated();
+        CHECK(now - before <= 8);
+        before = now;
+    }
+    CHECK(before == 89);
+}
+
+} // namespace kingcupseam::router
