Control instances: compute the speeds of upstreams once a plan

Cause: each report of an entry, 89 entries each 300 ms, sorted the service times of all 437 upstreams again; reports took 20 to 40% of the time of late control threads. Change: the speeds are computed before each plan, every 80 ms at most, which alone reads them.

--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -241,6 +241,7 @@
 
 void control_node::run_lease_manager(time_point now) {
     const task_times::scope measured(task_times_, control_task::plan);
+    update_speeds();
     auto effects = lease_manager_->tick({*state_machine_.state(), conditions_, key_loads_}, now);
     const std::uint64_t generation = lease_manager_generation_;
     if (!effects.command.empty()) {
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -45,7 +45,6 @@
         double& average = service_times_[it.upstream];
         average = average <= 0 ? mean : average * kept + mean * (1 - kept);
     }
-    update_speeds();
     if (!report.crashed.empty() || !report.survived.empty()) {
         on_crash_reports(report);
     }
