Control instances: pass reports of crashes on together

Cause: each report of an entry about a crashed upstream sent the whole status, with up to 512 digests and all entries, to every entry. Change: watched requests go out with the status of each second. A request that has become refused, and an entry that leaves, cause a status within 200 ms. Result: the new test failed before (200 statuses for 200 reports) and passes.

--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -26,6 +26,7 @@
 constexpr duration late_tick = std::chrono::milliseconds(300);
 constexpr duration lease_manager_interval = std::chrono::milliseconds(80);
 constexpr duration join_interval = std::chrono::seconds(1);
+constexpr duration min_status_interval = std::chrono::milliseconds(200);
 constexpr duration decay_interval = std::chrono::milliseconds(500);
 constexpr double decay_factor = 0.8; ///< the load halves in 1.6 s, about a third of the duration of a hot key
 // Longer than outages of zones and machines.
@@ -147,7 +148,7 @@
     } else if (request.leaving) {
         spdlog::info("entry leaves name={}", name);
         entries_.erase(name);
-        broadcast_status();
+        status_due_ = true;
     } else {
         entries_[name] = from;
         send_status(from);
@@ -174,6 +175,9 @@
     if (leading) {
         tick_leader(now);
     }
+    if (status_due_ && now - last_status_at_ >= min_status_interval) {
+        broadcast_status();
+    }
     if (now >= next_join_) {
         next_join_ = now + join_interval;
         task_times_.take();
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -108,6 +108,8 @@
     time_point next_decay_;
     time_point next_join_;
     std::string last_status_;
+    time_point last_status_at_;
+    bool status_due_ = false; ///< the status has changed in a way that entries need soon
     time_point last_tick_ = steady_now();
 };
 
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -57,11 +57,12 @@
             poison_detector_.on_crash({digest, {it.upstream, it.upstream_started_ms}}, steady_now());
         spdlog::warn("upstream ended with a request upstream={} digest={:016x} refused={}", it.upstream,
                      digest, refused);
+        // Requests that are not refused yet reach the entries with the next status.
+        status_due_ = status_due_ || refused;
     }
     for (const auto digest : report.survived) {
         poison_detector_.on_answered(static_cast<request_digest>(digest));
     }
-    broadcast_status();
 }
 
 void control_node::update_speeds() {
@@ -121,6 +122,8 @@
 }
 
 void control_node::broadcast_status() {
+    status_due_ = false;
+    last_status_at_ = steady_now();
     const std::string payload = status_payload();
     if (payload == last_status_) {
         return;
--- /dev/null
+++ b/tests/router/control_node_test.cpp
@@ -0,0 +1,108 @@
+#include "router/control_node.h"
+#include "router/link_settings.h"
+#include "support/free_port.h"
+#include "support/temporary_folder.h"
+
+#include <directory_types.h>
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kingcupseam::router {
+
+namespace {
+
+using std::chrono::milliseconds;
+using transport::frame_type;
+
+process_settings settings_of(const test::temporary_folder& folder) {
+    process_settings result;
+    result.name = "control";
+    result.data_center = "d";
+    result.ip = "127.0.0.1";
+    result.peer_port = test::free_port();
+    result.seeds = {result.ip};
+    result.bootstrap = true;
+    result.data_folder = folder.path() / "data";
+    return result;
+}
+
+/// An entry's link to the control instance, which counts the statuses that it gets.
+class fake_entry {
+public:
+    fake_entry(asio::io_context& context, const std::string& name, const process_settings& to)
+        : link_(context, {to.ip, to.peer_port}, {{name, 1}, "d"}, control_link_settings(),
+                [this](const auto&, const transport::frame& received) {
+                    if (received.type == frame_type::control_status) {
+                        ++statuses;
+                        last = transport::decode<wire::ControlStatus>(received.payload);
+                    }
+                }) {
+        link_.on_state_change([this](bool up) {
+            if (up) {
+                link_.notify({frame_type::join_request, 0, transport::encode(wire::JoinRequest())});
+            }
+        });
+    }
+    /// Reports a request that was in progress when @p upstream crashed.
+    void report_crash(std::int64_t digest, const std::string& upstream) {
+        wire::LoadReport report;
+        wire::CrashedRequest it;
+        it.digest = digest;
+        it.upstream = upstream;
+        it.upstream_started_ms = 1;
+        report.crashed.push_back(it);
+        link_.notify({frame_type::load_report, 0, transport::encode(report)});
+    }
+
+    int statuses = 0;
+    wire::ControlStatus last;
+
+private:
+    transport::peer_link link_;
+};
+
+} // namespace
+
+// Guards against a status to every entry for each report of a crash: when many upstreams are replaced, this
+// kept the leader from its other work for seconds.
+TEST_CASE("reports of crashed upstreams are passed on together") {
+    asio::io_context context;
+    const test::temporary_folder folder;
+    const auto settings = settings_of(folder);
+    control_node node(context, settings, [](const auto&, const auto&) {});
+    fake_entry entry(context, "entry", settings);
+    const auto run_until = [&](const std::function<bool()>& condition) {
+        const time_point end = steady_now() + std::chrono::seconds(10);
+        while (!condition() && steady_now() < end) {
+            context.run_for(milliseconds(10));
+            context.restart();
+        }
+        return condition();
+    };
+    REQUIRE(run_until([&] { return entry.last.leads; }));
+    entry.statuses = 0;
+    const time_point begun = steady_now();
+
+    SUBCASE("of many requests") {
+        for (std::int64_t digest = 1; digest <= 200; ++digest) {
+            entry.report_crash(digest, "u");
+            context.run_for(milliseconds(2));
+            context.restart();
+        }
+        CHECK(run_until([&] { return entry.last.watched.size() == 200; }));
+        constexpr duration min_interval = milliseconds(200);
+        CHECK(entry.statuses <= 2 + (steady_now() - begun) / min_interval);
+    }
+    SUBCASE("but one that crashed three upstreams is refused at once") {
+        for (const char* upstream : {"u1", "u2", "u3"}) {
+            entry.report_crash(7, upstream);
+        }
+        CHECK(run_until([&] { return !entry.last.watched.empty() && entry.last.watched.front().refused; }));
+        CHECK(steady_now() - begun < milliseconds(500));
+    }
+}
+
+} // namespace kingcupseam::router
