--- a/src/router/poison_requests.cpp
+++ b/src/router/poison_requests.cpp
@@ -14,14 +14,26 @@
 // A refused request that no leader lists any more is allowed again after this time.
 constexpr duration refusal_retention = std::chrono::minutes(10);
 
-bool was_replaced(const directory::upstream& target, const directory::snapshot& state) {
+using start_times = std::map<endpoint_address, std::int64_t>;
+
+/// Start times of the listed upstreams, so that each address is found without a search through all of them.
+start_times start_times_of(const directory::snapshot& state) {
+    start_times result;
+    for (const auto& [id, it] : state.upstreams) {
+        result.emplace(it.address, it.incarnation.started_ms);
+    }
+    return result;
+}
+
+bool was_replaced(const directory::upstream& target, const directory::snapshot& state,
+                  const start_times& by_address) {
     const auto same_id = state.upstreams.find(target.incarnation.id);
     if (same_id != state.upstreams.end() &&
         same_id->second.incarnation.started_ms > target.incarnation.started_ms) {
         return true;
     }
-    const auto* same_address = state.find_by_address(target.address);
-    return same_address != nullptr && same_address->incarnation.started_ms > target.incarnation.started_ms;
+    const auto same_address = by_address.find(target.address);
+    return same_address != by_address.end() && same_address->second > target.incarnation.started_ms;
 }
 
 } // namespace
@@ -36,11 +48,15 @@
 std::vector<crash_report> interrupted_requests::take_crashes(const directory::snapshot& state,
                                                              time_point now) {
     std::vector<crash_report> result;
+    if (records_.empty()) {
+        return result;
+    }
+    const start_times by_address = start_times_of(state);
     std::erase_if(records_, [&](const record& it) {
         if (now - it.since > max_restart_time) {
             return true;
         }
-        if (!was_replaced(it.target, state)) {
+        if (!was_replaced(it.target, state, by_address)) {
             return false;
         }
         result.push_back({it.digest, it.target.incarnation});
