Links: do not take an own pause for the silence of the peer

Cause: a link ends when nothing has come for the heartbeat timeout. A process that had not run for that time counted its own pause: it ended the link at the first late timer, before it had sent a heartbeat that the peer could answer. Change: the time by which the own heartbeat timer is late is not counted as silence. Result: the new test (a pause of 300 ms against a timeout of 100 ms, a reply after 500 ms) failed before and passes. A silent peer is still found in the time that the older tests ask for.

--- a/src/transport/stream_connection.cpp
+++ b/src/transport/stream_connection.cpp
@@ -4,6 +4,8 @@
 
 #include <peer_types.h>
 
+#include <algorithm>
+
 namespace kingcupseam::transport {
 
 namespace {
@@ -174,6 +176,7 @@
 }
 
 void stream_connection::schedule_heartbeat() {
+    heartbeat_due_ = steady_now() + settings_.heartbeat_interval;
     heartbeat_timer_.expires_after(settings_.heartbeat_interval);
     heartbeat_timer_.async_wait([it = self()](const asio::error_code& ec) {
         if (!ec && it->open_) {
@@ -184,6 +187,8 @@
 
 void stream_connection::on_heartbeat_due() {
     const time_point now = steady_now();
+    // While this process did not run, it sent no heartbeats that the peer could have answered.
+    last_received_ += std::max(now - heartbeat_due_, duration::zero());
     if (now - last_received_ > settings_.heartbeat_timeout) {
         // An open connection can stop working while new ones work, so it is closed and dialled again.
         fail(false);
--- a/src/transport/stream_connection.h
+++ b/src/transport/stream_connection.h
@@ -71,6 +71,7 @@
     std::string pending_;
     std::string writing_;
     time_point last_received_;
+    time_point heartbeat_due_;
     time_point last_sent_;
     std::uint64_t queued_ = 0;
     std::uint64_t handed_to_socket_ = 0;
--- a/tests/transport/link_test.cpp
+++ b/tests/transport/link_test.cpp
@@ -5,6 +5,7 @@
 #include <peer_types.h>
 
 #include <functional>
+#include <thread>
 
 using namespace kingcupseam;
 using namespace kingcupseam::transport;
@@ -215,6 +216,29 @@
             CHECK(answer->answer.has_value());
         }
     }
+    // Guards against taking an own pause for the silence of the peer: requests in progress were given up.
+    SUBCASE("keeps a pending request while this process itself does not run") {
+        asio::io_context peer_context;
+        peer_server peer(peer_context, listen_address, identity("b"), settings,
+                         [&](const std::shared_ptr<connection>& from, const frame& received) {
+                             auto timer = std::make_shared<asio::steady_timer>(peer_context, 500ms);
+                             timer->async_wait([timer, from, received](auto) { echo(from, received); });
+                         });
+        std::thread peer_thread([&] { peer_context.run_for(2s); });
+        peer_link to_peer(context, listen_address, identity("a"), settings, nullptr);
+        const bool up = run_until(context, [&] { return to_peer.up(); });
+        std::optional<reply> answer;
+        to_peer.request({frame_type::forward_request, 0, "x"}, 2s, [&](const reply& it) { answer = it; });
+        context.restart();
+        context.run_for(5ms);
+        std::this_thread::sleep_for(300ms);
+        const bool answered = run_until(context, [&] { return answer.has_value(); });
+        peer_context.stop();
+        peer_thread.join();
+        CHECK(up);
+        REQUIRE(answered);
+        CHECK(answer->answer.has_value());
+    }
     // Guards against requests that wait for a frozen gate until their own timeout.
     SUBCASE("fails a pending request after the heartbeat timeout if the peer is silent") {
         silent_peer peer(context);
