--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -74,13 +74,14 @@
 bool directory_publisher::flush() {
     const task_times::scope measured(task_times_, control_task::publish);
     std::size_t sent = 0;
-    for (auto it = subscribers_.begin(); it != subscribers_.end();) {
-        const auto peer = it->second.peer.lock();
-        if (!peer || !peer->open()) {
-            it = subscribers_.erase(it);
-            continue;
+    for (std::size_t visited = subscribers_.size(); visited > 0; --visited) {
+        auto it = subscribers_.upper_bound(last_visited_);
+        if (it == subscribers_.end()) {
+            it = subscribers_.begin();
         }
-        if (it->second.known_index < current_->index) {
+        const auto peer = it->second.peer.lock();
+        const bool open = peer && peer->open();
+        if (open && it->second.known_index < current_->index) {
             if (sent == max_updates_per_turn) {
                 return true;
             }
@@ -88,7 +89,10 @@
             it->second.known_index = current_->index;
             ++sent;
         }
-        ++it;
+        last_visited_ = it->first;
+        if (!open) {
+            subscribers_.erase(it);
+        }
     }
     return false;
 }
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -54,6 +54,7 @@
     std::map<std::uint64_t, directory::snapshot_ptr> history_; ///< recent directories by index
     std::map<std::uint64_t, update> updates_;       ///< to the current directory, by index of the known one
     std::map<std::string, subscriber> subscribers_; ///< by instance name
+    std::string last_visited_; ///< subscriber after which the next turn begins, so that all get their turn
 };
 
 } // namespace kingcupseam::router
--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -180,4 +180,22 @@
     CHECK(before == 89);
 }
 
+// Guards against entries that hold an outdated configuration while others get every change.
+TEST_CASE("each of many entries gets its updates while changes go on") {
+    harness it;
+    const auto states = make_states(200);
+    std::vector<std::shared_ptr<fake_entry>> entries;
+    for (int i = 0; i < 89; ++i) {
+        entries.push_back(std::make_shared<fake_entry>("entry" + std::to_string(i)));
+        it.publisher(0).subscribe(entries.back(), 0, true);
+    }
+    for (const auto& state : states) {
+        it.publisher(0).publish(state);
+        it.context.run_one_for(std::chrono::milliseconds(60));
+    }
+    for (const auto& entry : entries) {
+        CHECK(entry->held.index > 150);
+    }
+}
+
 } // namespace kingcupseam::router
