Control instances: send each release on a new connection

Grants and releases have no id, so a second answer to an earlier grant, on the connection that the release uses too, was taken for the answer to the release: the keys moved to the next upstream while the former one was still at work on them. Change: a release gets a connection of its own. A second answer that ends a grant early grants nothing that was not asked for.

--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -104,7 +104,9 @@
         request.target = call.address;
         request.bytes = protocol_.write_call(call);
         request.timeout = call.kind == key_ranges::call_kind::grant ? grant_timeout : release_timeout;
-        request.new_connection = call.new_connection;
+        // Answers have no id, and a second one to an earlier call must not end a release: its keys would move
+        // while requests run on them.
+        request.new_connection = call.new_connection || call.kind == key_ranges::call_kind::release;
         client_.send(std::move(request), [this, call, done = std::move(done)](const exchange_result& it) {
             const auto result = to_call_result(it);
             // Grants and releases are called orders in the names of the metric and the log event.
--- a/tests/platform/entry_processes.h
+++ b/tests/platform/entry_processes.h
@@ -23,7 +23,9 @@
 /// scripts. The routes /safe/ and /unsafe/ retry refused requests; /once/ is at most once and does not.
 class entry_processes {
 public:
-    explicit entry_processes(raw_server::connect_handler on_connect, std::size_t entries = 1)
+    /// @param key_ranges whether each key of the service has one owner
+    explicit entry_processes(raw_server::connect_handler on_connect, std::size_t entries = 1,
+                             bool key_ranges = false)
         : upstream(context, std::move(on_connect)) {
         // Links between instances use one port at different addresses.
         peer_port_ = free_port();
@@ -40,9 +42,18 @@
                 start("entry", "entry" + std::to_string(n), ip,
                       "callers = \"" + callers + "\"\nreadiness = \"" + readiness_.back() + "\"\n"));
         }
-        register_all();
+        register_all(key_ranges);
     }
 
+    /// Reports an upstream that listens on @p port.
+    void announce(const std::string& id, std::uint16_t port, bool draining = false) {
+        const std::string body = R"({"address":"127.0.0.1:)" + std::to_string(port) +
+                                 R"(","born":1,"info":{"service":"s","zone":"d","capacity":64},)"
+                                 R"("status":{"state":")" +
+                                 (draining ? "draining" : "ready") + R"(","sequence":)" +
+                                 std::to_string(++announcements_) + R"(,"warmup_left":"0ms"}})";
+        REQUIRE(put("/instances/" + id, body));
+    }
     child_process& entry(std::size_t n = 0) { return *processes_.at(n); }
 
     /// A request of its own id to an entry; its result once the request has ended.
@@ -106,19 +117,17 @@
             std::vector<std::string>{command, "--config", folder_.write(name + ".toml", settings)},
             (folder_.path() / (name + ".log")).string());
     }
-    void register_all() {
+    void register_all(bool key_ranges) {
         const std::string configuration =
             R"({"version":"00000001","routes":{"columns":["name","host","path_prefix","route_type","timeout",)"
             R"("target_latency","priority","attempts","service"],"rows":[)"
             R"(["safe","h","/safe/","safe","3s","1500ms",1,2,"s"],)"
             R"(["unsafe","h","/unsafe/","unsafe","3s","1500ms",1,2,"s"],)"
             R"(["once","h","/once/","unsafe","3s","1ms",1,2,"s"]]},)"
-            R"("services":{"columns":["name","health_path"],"rows":[["s","/health"]]}})";
-        const std::string announcement = R"({"address":"127.0.0.1:)" + std::to_string(upstream.port()) +
-                                         R"(","born":1,"info":{"service":"s","zone":"d","capacity":64},)"
-                                         R"("status":{"state":"ready","sequence":1,"warmup_left":"0ms"}})";
+            R"("services":{"columns":["name","health_path","sharded"],"rows":[["s","/health",)" +
+            std::string(key_ranges ? "true" : "false") + "]]}}";
         REQUIRE(put("/config", configuration));
-        REQUIRE(put("/instances/u", announcement));
+        announce("u", upstream.port());
         http_caller caller;
         for (const auto& it : readiness_) {
             REQUIRE(run_until([&] { return caller.send("GET", it, "/readyz").status == 200; }));
@@ -140,6 +149,7 @@
     std::vector<std::unique_ptr<child_process>> processes_;
     app::http_client client_{context, {}};
     int requests_ = 0;
+    int announcements_ = 0;
 };
 
 } // namespace kingcupseam::platform::test
