Entries: a request that may run once waits for a silent gate

Cause: a gate that was not heard for 800 ms lost its link, and with it every request in progress there. Requests that may run once were answered 502 and their runs cut, although the gate was only slow: with a tenth of a core, or behind a link of 2 Mbit/s, gates are silent for a second under load. Change: a silent link gets no new requests, and requests that may run again go elsewhere at once, as before. Its connection and the other requests are kept for a silence of up to 3 s.

--- a/include/kingcupseam/transport.h
+++ b/include/kingcupseam/transport.h
@@ -115,6 +115,9 @@
     /// False for links that are mostly idle: the dialling side sends heartbeats and detects silence only
     /// while requests are pending, and the accepting side replies to each heartbeat.
     bool heartbeat_when_idle = true;
+    /// After heartbeat_timeout the link is down, so that new requests go elsewhere. Its connection and its
+    /// pending requests are kept for this long a silence, and the link is up again when the peer is heard.
+    duration silence_limit{}; ///< zero: the connection is closed at heartbeat_timeout
 };
 
 /// Identity of a peer, from its hello frame.
@@ -164,10 +167,14 @@
     std::uint64_t request(frame outgoing, duration timeout, std::function<void(reply)> done);
     /// Drops a pending request without calling its @p done.
     void abandon(std::uint64_t correlation);
-    /// Sends a one-way frame, or drops it if the link is down.
+    /// Sends a one-way frame, or drops it if there is no connection.
     void notify(frame outgoing);
-    /// True while a connection is open and the peer's hello has arrived.
+    /// True while a connection is open, the peer's hello has arrived and the peer is not silent.
     bool up() const;
+    /// True while a connection is kept although the peer is silent.
+    bool silent() const;
+    /// True while a request waits for its reply.
+    bool busy() const;
     void on_state_change(std::function<void(bool up)> observer);
     std::uint64_t bytes_sent() const;
     std::uint64_t bytes_received() const;
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace kingcupseam::router {
 
@@ -55,7 +56,7 @@
     std::erase_if(links_, [&](const auto& it) {
         return std::none_of(entries_.begin(), entries_.end(),
                             [&](const entry_instance& known) { return known.name == it.first; }) &&
-               !it.second->up();
+               !it.second->up() && !it.second->busy();
     });
 }
 
@@ -99,16 +100,32 @@
                                  context_, parse_endpoint("entries", "name", name), self_,
                                  gate_link_settings(), [](const connection_ptr&, const transport::frame&) {}))
                     .first;
-        known->second->on_state_change(
-            [name](bool up) { spdlog::info("gate {} name={}", up ? "reached" : "lost", name); });
+        known->second->on_state_change([this, name](bool up) { on_link_state(name, up); });
     }
     return known->second->up() ? known->second.get() : nullptr;
 }
 
+void gate_links::on_link_state(const std::string& name, bool up) {
+    spdlog::info("gate {} name={}", up ? "reached" : "lost", name);
+    if (!links_.at(name)->silent()) {
+        return; // up, or closed, which ends the pending requests
+    }
+    const auto pending = std::exchange(repeatable_[name], {});
+    for (const auto& [number, done] : pending) {
+        withdraw(name, number);
+        done({routed_end::lost, {}});
+    }
+}
+
 std::uint64_t gate_links::forward(const std::string& gate, const routed_request& request, on_end done) {
-    return links_.at(gate)->request(
+    const bool repeatable = request.runs == execution::idempotent;
+    const auto number = std::make_shared<std::uint64_t>(0);
+    *number = links_.at(gate)->request(
         {frame_type::routed_request, 0, encode(request)}, request.time_left + reply_reserve,
-        [done = std::move(done)](const transport::reply& it) {
+        [this, gate, repeatable, number, done](const transport::reply& it) {
+            if (repeatable) {
+                repeatable_[gate].erase(*number);
+            }
             if (it.answer && it.answer->type == frame_type::routed_reply) {
                 done(decode_routed_result(it.answer->payload));
                 return;
@@ -116,6 +133,10 @@
             const bool not_sent = !it.answer && it.failure == transport::link_failure::not_sent;
             done({not_sent ? routed_end::not_accepted : routed_end::lost, {}});
         });
+    if (repeatable && *number != 0) {
+        repeatable_[gate].emplace(*number, std::move(done));
+    }
+    return *number;
 }
 
 void gate_links::withdraw(const std::string& gate, std::uint64_t number) {
@@ -124,6 +145,9 @@
         return;
     }
     known->second->abandon(number);
+    if (const auto pending = repeatable_.find(gate); pending != repeatable_.end()) {
+        pending->second.erase(number);
+    }
     wire::RoutedCancel out;
     out.correlation = static_cast<std::int64_t>(number);
     known->second->notify({frame_type::routed_cancel, 0, transport::encode(out)});
--- a/src/router/gate_links.h
+++ b/src/router/gate_links.h
@@ -57,6 +57,7 @@
     void on_frame(const connection_ptr& from, const transport::frame& received);
     void on_routed_request(const connection_ptr& from, const transport::frame& received);
     std::uint64_t connection_number(const connection_ptr& from);
+    void on_link_state(const std::string& name, bool up);
 
     asio::io_context& context_;
     transport::peer_identity self_;
@@ -64,6 +65,8 @@
     std::vector<entry_instance> entries_;
     std::unordered_map<std::string, std::vector<std::string>> ranked_entries_; ///< by upstream id
     std::map<std::string, std::unique_ptr<transport::peer_link>> links_;
+    /// Pending requests that may run again, by gate and number: they do not wait for a silent gate.
+    std::map<std::string, std::map<std::uint64_t, on_end>> repeatable_;
     std::map<connection_ptr, std::uint64_t> connections_; ///< accepted connections that have sent requests
     std::uint64_t next_connection_;
     transport::peer_server server_;
--- a/src/router/link_settings.h
+++ b/src/router/link_settings.h
@@ -19,13 +19,15 @@
     return result;
 }
 
-/// Links between entries. Most are idle at any moment. Those that carry requests are closed early when they
-/// fail, since the requests wait meanwhile.
+/// Links between entries. Most are idle at any moment. A silent one gets no further requests early on, since
+/// they would wait.
 inline transport::link_options gate_link_settings() {
     transport::link_options result = control_link_settings();
     result.heartbeat_when_idle = false;
     result.heartbeat_interval = std::chrono::milliseconds(250);
     result.heartbeat_timeout = std::chrono::milliseconds(800);
+    // A request that may run once is lost with its connection, also when the gate was only slow.
+    result.silence_limit = std::chrono::seconds(3);
     result.read_buffer_bytes = 4 * 1024; // requests are small, and there may be a link to every other entry
     return result;
 }
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -50,6 +50,7 @@
     std::uint64_t next_correlation = 1;
     std::uint64_t closed_bytes_sent = 0;
     std::uint64_t closed_bytes_received = 0;
+    bool ready = false; ///< the peer's hello has arrived on the current connection
     bool is_up = false;
     bool stopped = false;
 };
@@ -83,9 +84,13 @@
     }
     current = std::make_shared<stream_connection>(std::move(socket), self, settings,
                                                   stream_connection::side::dialled);
-    current->start({[it = shared_from_this()] { it->set_is_up(true); },
+    current->start({[it = shared_from_this()] {
+                        it->ready = true;
+                        it->set_is_up(true);
+                    },
                     [it = shared_from_this()](frame received) { it->on_reply(std::move(received)); },
-                    [it = shared_from_this()](bool) { it->on_closed(); }});
+                    [it = shared_from_this()](bool) { it->on_closed(); },
+                    [it = shared_from_this()](bool silent) { it->set_is_up(it->ready && !silent); }});
 }
 
 void peer_link::state::redial_later() {
@@ -104,6 +109,7 @@
     const auto closed = std::exchange(current, nullptr);
     closed_bytes_sent += closed->bytes_sent();
     closed_bytes_received += closed->bytes_received();
+    ready = false;
     set_is_up(false);
     fail_pending(closed->handed_to_socket());
     if (!stopped) {
@@ -114,6 +120,7 @@
 void peer_link::state::set_is_up(bool value) {
     if (is_up != value) {
         is_up = value;
+        update_silence_detection();
         if (on_state_change) {
             on_state_change(value);
         }
@@ -165,7 +172,7 @@
 
 void peer_link::state::update_silence_detection() {
     if (!settings.heartbeat_when_idle && current) {
-        current->set_silence_detection(!pending.empty());
+        current->set_silence_detection(!pending.empty() || (ready && !is_up));
     }
 }
 
@@ -239,7 +246,7 @@
 }
 
 void peer_link::notify(frame outgoing) {
-    if (state_->is_up && state_->current) {
+    if (state_->ready && state_->current) {
         outgoing.correlation = 0;
         state_->current->send(std::move(outgoing));
     }
@@ -249,6 +256,14 @@
     return state_->is_up;
 }
 
+bool peer_link::silent() const {
+    return state_->ready && !state_->is_up;
+}
+
+bool peer_link::busy() const {
+    return !state_->pending.empty();
+}
+
 void peer_link::on_state_change(std::function<void(bool up)> observer) {
     state_->on_state_change = std::move(observer);
 }
--- a/src/transport/stream_connection.cpp
+++ b/src/transport/stream_connection.cpp
@@ -120,6 +120,7 @@
     }
     bytes_received_ += n;
     last_received_ = steady_now();
+    set_silent(false);
     try {
         feed(std::string_view(input_.data(), n));
         handle_frames();
@@ -189,17 +190,30 @@
     const time_point now = steady_now();
     // While this process did not run, it sent no heartbeats that the peer could have answered.
     last_received_ += std::max(now - heartbeat_due_, duration::zero());
-    if (now - last_received_ > settings_.heartbeat_timeout) {
+    const duration silence = now - last_received_;
+    if (silence > std::max(settings_.heartbeat_timeout, settings_.silence_limit)) {
         // An open connection can stop working while new ones work, so it is closed and dialled again.
         fail(false);
         return;
     }
+    if (silence > settings_.heartbeat_timeout) {
+        set_silent(true);
+    }
     if (now - last_sent_ >= settings_.heartbeat_interval / 2) {
         send({frame_type::heartbeat, 0, {}});
     }
     schedule_heartbeat();
 }
 
+void stream_connection::set_silent(bool value) {
+    if (silent_ != value) {
+        silent_ = value;
+        if (callbacks_.on_silence) {
+            callbacks_.on_silence(value);
+        }
+    }
+}
+
 void stream_connection::fail(bool malformed) {
     if (!open_) {
         return;
--- a/src/transport/stream_connection.h
+++ b/src/transport/stream_connection.h
@@ -14,9 +14,10 @@
 class stream_connection final : public connection {
 public:
     struct handlers {
-        std::function<void()> on_ready;                ///< the peer's hello has arrived
-        std::function<void(frame)> on_frame;           ///< any frame except hello and heartbeat
-        std::function<void(bool malformed)> on_closed; ///< called once
+        std::function<void()> on_ready;                        ///< the peer's hello has arrived
+        std::function<void(frame)> on_frame;                   ///< any frame except hello and heartbeat
+        std::function<void(bool malformed)> on_closed;         ///< called once
+        std::function<void(bool silent)> on_silence = nullptr; ///< only with a silence limit
     };
 
     enum class side : std::uint8_t { dialled, accepted };
@@ -54,6 +55,7 @@
     void on_written(const asio::error_code& ec, std::size_t n);
     void schedule_heartbeat();
     void on_heartbeat_due();
+    void set_silent(bool value);
     void fail(bool malformed);
 
     asio::ip::tcp::socket socket_;
@@ -72,6 +74,7 @@
     std::string writing_;
     time_point last_received_;
     time_point heartbeat_due_;
+    bool silent_ = false;
     time_point last_sent_;
     std::uint64_t queued_ = 0;
     std::uint64_t handed_to_socket_ = 0;
--- a/tests/transport/link_test.cpp
+++ b/tests/transport/link_test.cpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <thread>
+#include <vector>
 
 using namespace kingcupseam;
 using namespace kingcupseam::transport;
@@ -239,6 +240,45 @@
         REQUIRE(answered);
         CHECK(answer->answer.has_value());
     }
+    // Guards against giving up requests in progress because the peer is slow for a moment.
+    SUBCASE("with a silence limit keeps its requests while the peer is silent") {
+        settings.silence_limit = 800ms;
+        asio::io_context peer_context;
+        duration pause{};
+        peer_server peer(peer_context, listen_address, identity("b"), settings,
+                         [&](const std::shared_ptr<connection>& from, const frame& received) {
+                             std::this_thread::sleep_for(pause);
+                             echo(from, received);
+                         });
+        peer_link to_peer(context, listen_address, identity("a"), settings, nullptr);
+        std::vector<bool> states;
+        to_peer.on_state_change([&](bool up) { states.push_back(up); });
+        std::optional<reply> answer;
+        const auto ask = [&] {
+            std::thread peer_thread([&] { peer_context.run_for(2s); });
+            const bool up = run_until(context, [&] { return to_peer.up(); });
+            to_peer.request({frame_type::forward_request, 0, "x"}, 3s, [&](const reply& it) { answer = it; });
+            const bool answered = run_until(context, [&] { return answer.has_value(); });
+            peer_context.stop();
+            peer_thread.join();
+            return up && answered;
+        };
+        SUBCASE("which is up again when the peer is heard") {
+            pause = 400ms;
+            REQUIRE(ask());
+            CHECK(answer->answer.has_value());
+            CHECK(states == std::vector<bool>{true, false, true});
+        }
+        SUBCASE("but not beyond the limit") {
+            pause = 1500ms;
+            const time_point begun = steady_now();
+            REQUIRE(ask());
+            CHECK_FALSE(answer->answer.has_value());
+            CHECK(answer->failure == link_failure::lost);
+            CHECK(states == std::vector<bool>{true, false});
+            CHECK(steady_now() - begun < 2s);
+        }
+    }
     // Guards against requests that wait for a frozen gate until their own timeout.
     SUBCASE("fails a pending request after the heartbeat timeout if the peer is silent") {
         silent_peer peer(context);
