Control instances: send all entries the same directory in a round

Cause: with the updates sent in turns, each change between two turns made the next entries' update another one, so that after a large configuration its difference was encoded and compressed anew in every turn. Change: the target is fixed for a round over all entries; changes meanwhile go out in the next round.

--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -20,12 +20,12 @@
 void directory_publisher::subscribe(const std::shared_ptr<transport::connection>& peer,
                                     std::uint64_t known_index, bool expands) {
     subscribers_[peer->peer().id.name] = {peer, known_index, expands};
+    has_new_subscriber_ = true;
     schedule_flush(batch_interval);
 }
 
 void directory_publisher::publish(directory::snapshot_ptr current) {
     current_ = std::move(current);
-    updates_.clear();
     history_.insert_or_assign(current_->index, current_);
     while (history_.size() > max_history) {
         history_.erase(history_.begin());
@@ -42,8 +42,11 @@
     timer_.async_wait([this](const asio::error_code& ec) {
         if (!ec) {
             scheduled_ = false;
-            if (flush()) {
+            flush();
+            if (round_left_ > 0) {
                 schedule_flush(duration::zero());
+            } else if (target_ != current_ || has_new_subscriber_) {
+                schedule_flush(batch_interval);
             }
         }
     });
@@ -54,7 +57,7 @@
     const auto* base = known == history_.end() ? nullptr : known->second.get();
     auto& result = updates_[base == nullptr ? 0 : known_index];
     if (result.plain.empty()) {
-        result.plain = directory::encode_difference(base, *current_);
+        result.plain = directory::encode_difference(base, *target_);
         if (result.plain.size() >= min_compressed_bytes) {
             result.compressed = transport::compress(result.plain);
         }
@@ -71,22 +74,29 @@
     }
 }
 
-bool directory_publisher::flush() {
+void directory_publisher::flush() {
     const task_times::scope measured(task_times_, control_task::publish);
+    if (round_left_ == 0) {
+        // All entries get the same directory in a round, so that few updates are encoded.
+        target_ = current_;
+        has_new_subscriber_ = false;
+        updates_.clear();
+        round_left_ = subscribers_.size();
+    }
     std::size_t sent = 0;
-    for (std::size_t visited = subscribers_.size(); visited > 0; --visited) {
+    for (; round_left_ > 0 && !subscribers_.empty(); --round_left_) {
         auto it = subscribers_.upper_bound(last_visited_);
         if (it == subscribers_.end()) {
             it = subscribers_.begin();
         }
         const auto peer = it->second.peer.lock();
         const bool open = peer && peer->open();
-        if (open && it->second.known_index < current_->index) {
+        if (open && it->second.known_index < target_->index) {
             if (sent == max_updates_per_turn) {
-                return true;
+                return;
             }
             send(*peer, it->second);
-            it->second.known_index = current_->index;
+            it->second.known_index = target_->index;
             ++sent;
         }
         last_visited_ = it->first;
@@ -94,7 +104,7 @@
             subscribers_.erase(it);
         }
     }
-    return false;
+    round_left_ = 0;
 }
 
 } // namespace kingcupseam::router
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -41,19 +41,22 @@
     };
 
     void schedule_flush(duration delay);
-    /// Sends updates to some subscribers. @returns true when others still wait for theirs
-    bool flush();
+    /// Sends updates to some subscribers; round_left_ tells how many follow.
+    void flush();
     void send(transport::connection& peer, const subscriber& to);
-    /// The update from the directory of that index to the current one.
+    /// The update from the directory of that index to the round's target.
     const update& update_from(std::uint64_t known_index);
 
     asio::steady_timer timer_;
     task_times& task_times_;
     bool scheduled_ = false;
     directory::snapshot_ptr current_ = std::make_shared<const directory::snapshot>();
+    directory::snapshot_ptr target_ = current_; ///< sent to all subscribers in the current round
+    std::size_t round_left_ = 0;                ///< subscribers that the current round has not visited yet
+    bool has_new_subscriber_ = false;           ///< since the round began
     std::map<std::uint64_t, directory::snapshot_ptr> history_; ///< recent directories by index
-    std::map<std::uint64_t, update> updates_;       ///< to the current directory, by index of the known one
-    std::map<std::string, subscriber> subscribers_; ///< by instance name
+    std::map<std::uint64_t, update> updates_;                  ///< to the target, by index of the known one
+    std::map<std::string, subscriber> subscribers_;            ///< by instance name
     std::string last_visited_; ///< subscriber after which the next turn begins, so that all get their turn
 };
 
--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -180,6 +180,25 @@
     CHECK(before == 89);
 }
 
+// Guards against an entry without a directory until the next change.
+TEST_CASE("an entry that subscribes while others get an update gets its own") {
+    harness it;
+    const auto states = make_states(1);
+    std::vector<std::shared_ptr<fake_entry>> entries;
+    for (int i = 0; i < 40; ++i) {
+        entries.push_back(std::make_shared<fake_entry>("entry" + std::to_string(i)));
+    }
+    it.publisher(0).publish(states[0]);
+    for (const auto& entry : entries) {
+        it.publisher(0).subscribe(entry, 0, true);
+        it.context.run_one_for(std::chrono::milliseconds(2));
+    }
+    it.run();
+    for (const auto& entry : entries) {
+        CHECK(entry->held.index == 1);
+    }
+}
+
 // Guards against entries that hold an outdated configuration while others get every change.
 TEST_CASE("each of many entries gets its updates while changes go on") {
     harness it;
