--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -185,14 +185,17 @@
     harness it;
     const auto states = make_states(1);
     std::vector<std::shared_ptr<fake_entry>> entries;
-    for (int i = 0; i < 40; ++i) {
-        entries.push_back(std::make_shared<fake_entry>("entry" + std::to_string(i)));
+    for (int i = 10; i < 30; ++i) {
+        entries.push_back(std::make_shared<fake_entry>("m" + std::to_string(i)));
+        it.publisher(0).subscribe(entries.back(), 0, true);
     }
     it.publisher(0).publish(states[0]);
-    for (const auto& entry : entries) {
-        it.publisher(0).subscribe(entry, 0, true);
-        it.context.run_one_for(std::chrono::milliseconds(2));
-    }
+    it.context.run_one_for(std::chrono::milliseconds(60));
+    REQUIRE(entries.front()->held.index == 1);
+    REQUIRE(entries.back()->held.index == 0);
+    // Its name comes before those that the round still has to visit.
+    entries.push_back(std::make_shared<fake_entry>("a"));
+    it.publisher(0).subscribe(entries.back(), 0, true);
     it.run();
     for (const auto& entry : entries) {
         CHECK(entry->held.index == 1);
