--- a/src/transport/compression.cpp
+++ b/src/transport/compression.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <utility>
 
 namespace kingcupseam::transport {
 
@@ -52,9 +53,16 @@
     }
 }
 
-std::string deflater::compress(std::string_view bytes) {
+std::string deflater::append(std::string_view bytes, int level) {
     std::string result;
     std::array<char, block_bytes> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    if (std::exchange(level_, level) != level) {
+        stream_->avail_in = 0;
+        stream_->next_out = output_of(block);
+        stream_->avail_out = static_cast<uInt>(block.size());
+        ::deflateParams(stream_.get(), level, Z_DEFAULT_STRATEGY);
+        result.append(block.data(), block.size() - stream_->avail_out);
+    }
     stream_->next_in = input_of(bytes);
     stream_->avail_in = static_cast<uInt>(bytes.size());
     do {
--- a/src/transport/compression.h
+++ b/src/transport/compression.h
@@ -14,13 +14,19 @@
 public:
     deflater();
     /// Compresses @p bytes and flushes, so that the peer can read all of them at once.
-    std::string compress(std::string_view bytes);
+    std::string compress(std::string_view bytes) { return append(bytes, Z_BEST_SPEED); }
+    /// Adds @p bytes to the stream as they are: compressing bytes again takes longer than the first time.
+    std::string store(std::string_view bytes) { return append(bytes, Z_NO_COMPRESSION); }
 
 private:
     struct deleter {
         void operator()(z_stream* it) const noexcept;
     };
+
+    std::string append(std::string_view bytes, int level);
+
     std::unique_ptr<z_stream, deleter> stream_;
+    int level_ = Z_BEST_SPEED;
 };
 
 /// Expands the stream of a deflater.
--- a/src/transport/stream_connection.cpp
+++ b/src/transport/stream_connection.cpp
@@ -72,6 +72,8 @@
         fail(false);
         return;
     }
+    pending_is_compressed_ =
+        pending_is_compressed_ || outgoing.type == frame_type::directory_update_compressed;
     pending_ += encode_frame(outgoing);
     ++queued_;
     if (writing_.empty()) {
@@ -82,8 +84,9 @@
 void stream_connection::write() {
     // Frames queued during the last write are sent together in one system call.
     if (deflater_) {
-        writing_ = deflater_->compress(pending_);
+        writing_ = pending_is_compressed_ ? deflater_->store(pending_) : deflater_->compress(pending_);
         pending_.clear();
+        pending_is_compressed_ = false;
     } else {
         writing_.swap(pending_);
         if (settings_.compress) {
--- a/src/transport/stream_connection.h
+++ b/src/transport/stream_connection.h
@@ -71,6 +71,7 @@
     std::optional<inflater> inflater_; ///< set after the peer's hello has arrived
     std::vector<char> input_;
     std::string pending_;
+    bool pending_is_compressed_ = false; ///< contains a payload that is compressed already
     std::string writing_;
     time_point last_received_;
     time_point heartbeat_due_;
--- a/tests/transport/link_test.cpp
+++ b/tests/transport/link_test.cpp
@@ -167,6 +167,24 @@
                         [&](const reply& it) { same = it.answer && it.answer->payload == large; });
         CHECK(run_until(context, [&] { return same; }));
     }
+    SUBCASE("also payloads that are compressed already, between others") {
+        std::string text;
+        for (int n = 0; n < 20000; ++n) {
+            text += std::to_string(n * 7919);
+        }
+        const std::string compressed = compress(text);
+        int same = 0;
+        for (int n = 0; n < 6; ++n) {
+            const bool stored = n % 2 == 0;
+            const auto type = stored ? frame_type::directory_update_compressed : frame_type::forward_request;
+            const std::string payload = stored ? compressed : headers;
+            std::optional<reply> answer;
+            to_peer.request({type, 0, payload}, 1s, [&](const reply& it) { answer = it; });
+            CHECK(run_until(context, [&] { return answer.has_value(); }));
+            same += answer && answer->answer && answer->answer->payload == payload ? 1 : 0;
+        }
+        CHECK(same == 6);
+    }
     SUBCASE("also with a peer that does not compress") {
         const endpoint_address other{"127.0.0.1", 31412};
         peer_server plain(context, other, identity("c"), {}, echo);
