--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -52,28 +52,42 @@
     });
 }
 
-const directory_publisher::update& directory_publisher::update_from(std::uint64_t known_index) {
-    const auto known = history_.find(known_index);
-    const auto* base = known == history_.end() ? nullptr : known->second.get();
-    auto& result = updates_[base == nullptr ? 0 : known_index];
-    if (result.plain.empty()) {
-        result.plain = directory::encode_difference(base, *target_);
-        if (result.plain.size() >= min_compressed_bytes) {
-            result.compressed = transport::compress(result.plain);
-        }
+directory_publisher::update directory_publisher::make_update(const directory::snapshot* base) const {
+    update result;
+    result.plain = directory::encode_difference(base, *target_);
+    if (result.plain.size() >= min_compressed_bytes) {
+        result.compressed = transport::compress(result.plain);
     }
     return result;
 }
 
-void directory_publisher::send(transport::connection& peer, const subscriber& to) {
-    const update& changes = update_from(to.known_index);
-    if (to.expands && !changes.compressed.empty()) {
+void directory_publisher::send(transport::connection& peer, const update& changes, bool expands) {
+    if (expands && !changes.compressed.empty()) {
         peer.send({transport::frame_type::directory_update_compressed, 0, changes.compressed});
     } else {
         peer.send({transport::frame_type::directory_update, 0, changes.plain});
     }
 }
 
+void directory_publisher::send_target(transport::connection& peer, const subscriber& to) {
+    std::uint64_t base = to.known_index;
+    if (!history_.contains(base)) {
+        if (!history_.contains(whole_index_)) {
+            whole_index_ = target_->index;
+            whole_ = make_update(nullptr);
+        }
+        send(peer, whole_, to.expands);
+        base = whole_index_;
+    }
+    if (base < target_->index) {
+        auto [known, added] = updates_.try_emplace(base);
+        if (added) {
+            known->second = make_update(history_.at(base).get());
+        }
+        send(peer, known->second, to.expands);
+    }
+}
+
 void directory_publisher::flush() {
     const task_times::scope measured(task_times_, control_task::publish);
     if (round_left_ == 0) {
@@ -95,7 +109,7 @@
             if (sent == max_updates_per_turn) {
                 return;
             }
-            send(*peer, it->second);
+            send_target(*peer, it->second);
             it->second.known_index = target_->index;
             ++sent;
         }
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -43,9 +43,11 @@
     void schedule_flush(duration delay);
     /// Sends updates to some subscribers; round_left_ tells how many follow.
     void flush();
-    void send(transport::connection& peer, const subscriber& to);
-    /// The update from the directory of that index to the round's target.
-    const update& update_from(std::uint64_t known_index);
+    static void send(transport::connection& peer, const update& changes, bool expands);
+    /// Sends what the subscriber lacks of the round's target.
+    void send_target(transport::connection& peer, const subscriber& to);
+    /// The update from @p base, or from nothing, to the round's target.
+    update make_update(const directory::snapshot* base) const;
 
     asio::steady_timer timer_;
     task_times& task_times_;
@@ -56,7 +58,9 @@
     bool has_new_subscriber_ = false;           ///< since the round began
     std::map<std::uint64_t, directory::snapshot_ptr> history_; ///< recent directories by index
     std::map<std::uint64_t, update> updates_;                  ///< to the target, by index of the known one
-    std::map<std::string, subscriber> subscribers_;            ///< by instance name
+    update whole_; ///< a recent directory for subscribers that hold none
+    std::uint64_t whole_index_ = 0;
+    std::map<std::string, subscriber> subscribers_; ///< by instance name
     std::string last_visited_; ///< subscriber after which the next turn begins, so that all get their turn
 };
 
--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -130,6 +130,15 @@
         CHECK(entry->held.upstreams == states[114]->upstreams);
         CHECK(entry->bytes < whole / 20);
     }
+    SUBCASE("and one that starts then gets the same directory") {
+        it.publisher(0).publish(states[100]);
+        const auto started = std::make_shared<fake_entry>("started");
+        it.publisher(0).subscribe(started, 0, false);
+        it.run();
+        CHECK(started->held.index == 101);
+        CHECK(started->held.upstreams == states[100]->upstreams);
+        CHECK(started->held.config->routes == states[100]->config->routes);
+    }
     SUBCASE("but the whole directory when its own is long outdated") {
         for (std::size_t i = 100; i < 200; ++i) {
             it.publisher(1).publish(states[i]);
