--- a/src/router/upstream_client.cpp
+++ b/src/router/upstream_client.cpp
@@ -66,7 +66,7 @@
     const auto& excluded = request.excluded_connections;
     const time_point now = steady_now();
     for (std::size_t i = connections.size(); i-- > 0;) {
-        const auto candidate = connections[i];
+        auto candidate = connections[i];
         if (candidate->open() && now < candidate->idle_until() && candidate->quiet()) {
             if (now - candidate->idle_since() > request.max_idle) {
                 return nullptr; // the remaining connections have been idle even longer
