Control instances: never send an entry a directory before its own

Cause: found when reading the diff. It sent that one to an entry in between, which refused it and subscribed again after 200 ms, until 64 more changes were made. Change: a whole directory is encoded anew when the kept one is older than the entry's. Result: the new section failed before and passes.

--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -72,7 +72,7 @@
 void directory_publisher::send_target(transport::connection& peer, const subscriber& to) {
     std::uint64_t base = to.known_index;
     if (!history_.contains(base)) {
-        if (!history_.contains(whole_index_)) {
+        if (!history_.contains(whole_index_) || whole_index_ < to.known_index) {
             whole_index_ = target_->index;
             whole_ = make_update(nullptr);
         }
--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -18,14 +18,17 @@
     void send(transport::frame outgoing) override {
         bytes += outgoing.payload.size();
         ++updates;
+        const std::uint64_t before = held.index;
         const bool compressed = outgoing.type == transport::frame_type::directory_update_compressed;
         held = directory::apply_difference(held, compressed ? transport::expand(outgoing.payload)
                                                             : outgoing.payload);
+        goes_back = goes_back || held.index < before;
     }
     const transport::peer_identity& peer() const override { return peer_; }
     bool open() const override { return true; }
 
     directory::snapshot held;
+    bool goes_back = false; ///< an update had a lower index than the directory before
     std::size_t bytes = 0;
     int updates = 0;
 
@@ -130,6 +133,19 @@
         CHECK(entry->held.upstreams == states[114]->upstreams);
         CHECK(entry->bytes < whole / 20);
     }
+    SUBCASE("when the other one has skipped the directory that it holds") {
+        const auto early = std::make_shared<fake_entry>("early");
+        directory_publisher skipping(it.context, it.times);
+        skipping.publish(states[49]);
+        skipping.subscribe(early, 0, false);
+        it.run();
+        REQUIRE(early->held.index == 50);
+        skipping.publish(states[119]);
+        skipping.subscribe(entry, entry->held.index, false);
+        it.run();
+        CHECK(entry->held.index == 120);
+        CHECK_FALSE(entry->goes_back);
+    }
     SUBCASE("and one that starts then gets the same directory") {
         it.publisher(0).publish(states[100]);
         const auto started = std::make_shared<fake_entry>("started");
