Ledger test: draw random numbers in statements of their own

Arguments of a call were drawn inside the call; GCC evaluates them from the right on x86-64 and from the left on arm64, so that the same seeds played other runs. Change: each draw is a statement, in the order of x86-64. Seeds, checks and bounds are unchanged.

--- a/tests/ledger/random_test.cpp
+++ b/tests/ledger/random_test.cpp
@@ -23,25 +23,34 @@
     void step(std::uint64_t round) {
         // Also resends keys of the last rounds, through any gate.
         const std::string key = "k" + std::to_string(round / 4 + pick(3));
-        sim.submit(any_gate(), key, pick(20) == 0 ? "other" : "d");
+        // Draws are statements of their own: the order in which a call's arguments are evaluated differs
+        // between x86-64 and arm64.
+        const std::string digest = pick(20) == 0 ? "other" : "d";
+        sim.submit(any_gate(), key, digest);
         switch (pick(12)) {
         case 0:
             sim.appoint("g" + std::to_string(1 + pick(3)));
             break;
-        case 1:
-            sim.pause_replica(any_replica(), 1ms * pick(80));
+        case 1: {
+            const auto pause = 1ms * pick(80);
+            sim.pause_replica(any_replica(), pause);
             break;
-        case 2:
-            sim.pause_gate(any_gate(), 1ms * pick(80));
+        }
+        case 2: {
+            const auto pause = 1ms * pick(80);
+            sim.pause_gate(any_gate(), pause);
             break;
+        }
         case 3:
             if (sim.install_missing()) {
                 sim.replace_replica(any_replica());
             }
             break;
-        case 4:
-            sim.cut(any_gate(), any_replica());
+        case 4: {
+            const std::string replica = any_replica();
+            sim.cut(any_gate(), replica);
             break;
+        }
         case 5:
             sim.heal();
             break;
