--- a/idl/routing.thrift
+++ b/idl/routing.thrift
@@ -34,6 +34,8 @@
   2: i32 status
   3: list<RoutedHeader> headers
   4: binary body
+  // Time from the arrival of the request at the gate to this reply.
+  5: i64 handled_us
 }
 
 // Cancels the request that was sent with this correlation number on the same link.
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -233,6 +233,7 @@
     ++it->possible_runs;
     it->sent_at = now;
     it->upstream = queue.target().incarnation.id;
+    slot_usage_.on_sent(now - it->arrived);
     queue.on_sent(now);
     exchange request;
     request.target = queue.target().address;
@@ -347,6 +348,21 @@
     }
 }
 
+void dispatcher::log_slot_usage() {
+    int slots = 0;
+    std::size_t waiting = 0;
+    for (const auto& [id, it] : queues_) {
+        if (gates_ != nullptr && has_key_ranges(it->target().service) &&
+            gates_->gate_of(it->target()).empty()) {
+            slots += it->target().slots;
+        }
+        waiting += it->waiting();
+    }
+    if (const auto text = slot_usage_.take(slots, waiting, steady_now())) {
+        spdlog::info("slot usage {}", *text);
+    }
+}
+
 traffic_report dispatcher::take_report() {
     return std::exchange(report_, {});
 }
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -4,6 +4,7 @@
 #include "router/poison_requests.h"
 #include "router/protocol_adapter.h"
 #include "router/retry_budget.h"
+#include "router/slot_usage.h"
 #include "router/upstream_client.h"
 #include "router/upstream_queue.h"
 
@@ -89,6 +90,8 @@
     void refuse_new_requests() { refusing_new_requests_ = true; }
     std::size_t requests_in_flight() const noexcept { return requests_.size(); }
     traffic_report take_report();
+    /// Logs how slots were used since the last call.
+    void log_slot_usage();
 
 private:
     struct in_flight_request;
@@ -147,6 +150,8 @@
     void remove(const request_ptr& it);
     /// True for a poison request that the leader has refused.
     bool is_refused_poison_request(const request_ptr& it) const;
+    /// Records the end of an attempt for the log of slot usage.
+    void record_slot_use(const request_ptr& it, bool answered);
     void report_crashes();
     bool has_key_ranges(const std::string& service) const;
     upstream_use use_of(const std::string& service) const;
@@ -174,6 +179,7 @@
     /// Credits of smooth weighted round robin, by route and service.
     std::map<std::string, std::map<std::string, double>> split_credits_;
     traffic_report report_;
+    slot_usage slot_usage_;
     interrupted_requests interrupted_;
     known_poison_requests poison_requests_;
 };
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -35,6 +35,7 @@
 void dispatcher::on_exchange(const request_ptr& it, exchange_result result) {
     const auto found = queues_.find(it->upstream);
     upstream_queue* const from = found == queues_.end() ? nullptr : found->second.get();
+    record_slot_use(it, result.end == exchange_end::answered && result.answer.status / 100 == 2);
     if (result.end == exchange_end::answered) {
         it->used_connections.push_back(result.connection);
         on_answer(it, from, std::move(result.answer));
@@ -168,12 +169,22 @@
 void dispatcher::cancel_attempt(const request_ptr& it) {
     client_.cancel(it->exchange_id);
     it->exchange_id = 0;
+    record_slot_use(it, false);
     if (const auto found = queues_.find(it->upstream); found != queues_.end()) {
         record_overdue(it, *found->second);
         send_queued(*found->second);
     }
 }
 
+void dispatcher::record_slot_use(const request_ptr& it, bool answered) {
+    const time_point now = steady_now();
+    const bool late = now - it->arrived > it->route.target_latency;
+    const slot_result result = !answered ? slot_result::lost
+                               : late    ? slot_result::late
+                                         : slot_result::in_time;
+    slot_usage_.on_ended(result, now - it->sent_at);
+}
+
 void dispatcher::record_overdue(const request_ptr& it, upstream_queue& queue) {
     const duration elapsed = steady_now() - it->sent_at;
     if (elapsed > queue.service_time()) {
@@ -210,6 +221,7 @@
 }
 
 void dispatcher::refuse(const request_ptr& it, const char* reason) {
+    slot_usage_.on_refused();
     app::http_response answer{status_unavailable, {}, {}, false};
     answer.headers.emplace_back("Retry-After", fmt::format("{:.3f}", seconds(settings_.retry_after)));
     spdlog::info("request id={} outcome=not-run reason={} service={} upstream={} age_ms={} directory={}",
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -55,6 +55,7 @@
 
 void dispatcher::on_routed(const request_ptr& it, routed_result result) {
     if (result.end == routed_end::answered) {
+        slot_usage_.on_forwarded(steady_now() - it->sent_at - result.handled);
         finish(it, std::move(result.answer), "routed");
         return;
     }
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr duration report_interval = std::chrono::milliseconds(300);
+constexpr int reports_per_usage_line = 7; ///< a line each 2.1 s
 // The load balancer detects an unready entry by two checks that are a second apart.
 constexpr duration min_unready_time = std::chrono::milliseconds(2600);
 constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
@@ -55,6 +56,7 @@
     seed_watcher seed_watcher_;
     asio::signal_set signals_{control_.io, SIGTERM, SIGINT};
     asio::steady_timer report_timer_{traffic_.io};
+    int reports_ = 0;
     asio::steady_timer stop_timer_{traffic_.io};
     std::atomic<bool> ready_{false};
     std::atomic<bool> stopping_{false};
@@ -145,6 +147,9 @@
         if (!report.empty()) {
             asio::post(control_.io, [this, report = std::move(report)] { links_->send_report(report); });
         }
+        if (++reports_ % reports_per_usage_line == 0) {
+            dispatcher_->log_slot_usage();
+        }
         schedule_report();
     });
 }
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -113,7 +113,7 @@
     const auto pending = std::exchange(repeatable_[name], {});
     for (const auto& [number, done] : pending) {
         withdraw(name, number);
-        done({routed_end::lost, {}});
+        done({routed_end::lost, {}, {}});
     }
 }
 
@@ -131,7 +131,7 @@
                 return;
             }
             const bool not_sent = !it.answer && it.failure == transport::link_failure::not_sent;
-            done({not_sent ? routed_end::not_accepted : routed_end::lost, {}});
+            done({not_sent ? routed_end::not_accepted : routed_end::lost, {}, {}});
         });
     if (repeatable && *number != 0) {
         repeatable_[gate].emplace(*number, std::move(done));
@@ -172,13 +172,14 @@
 
 void gate_links::on_routed_request(const connection_ptr& from, const transport::frame& received) {
     const std::uint64_t number = received.correlation;
-    const auto reply = [from, number](app::http_response answer) {
+    const auto reply = [from, number, arrived = steady_now()](app::http_response answer) {
         from->send({frame_type::routed_reply, number,
-                    encode(routed_result{routed_end::answered, std::move(answer)})});
+                    encode(routed_result{routed_end::answered, std::move(answer), steady_now() - arrived})});
     };
     if (!callbacks_.on_request(decode_routed_request(received.payload), connection_number(from), number,
                                reply)) {
-        from->send({frame_type::routed_reply, number, encode(routed_result{routed_end::not_accepted, {}})});
+        from->send(
+            {frame_type::routed_reply, number, encode(routed_result{routed_end::not_accepted, {}, {}})});
     }
 }
 
--- a/src/router/gate_network.h
+++ b/src/router/gate_network.h
@@ -34,6 +34,7 @@
 struct routed_result {
     routed_end end = routed_end::not_accepted;
     app::http_response answer; ///< when answered
+    duration handled{};        ///< time at the gate, without the way there and back; when answered
 };
 
 /// Forwards requests to other entries. The gate of an upstream is the entry of its data centre that sends all
--- a/src/router/routing_codec.cpp
+++ b/src/router/routing_codec.cpp
@@ -83,6 +83,7 @@
     out.status = source.answer.status;
     out.headers = to_wire(source.answer.headers);
     out.body = source.answer.body;
+    out.handled_us = source.handled.count();
     return transport::encode(out);
 }
 
@@ -91,6 +92,7 @@
     routed_result result;
     result.end = in.taken ? routed_end::answered : routed_end::not_accepted;
     result.answer = {in.status, from_wire(std::move(in.headers)), std::move(in.body), false};
+    result.handled = duration(in.handled_us);
     return result;
 }
 
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -174,7 +174,7 @@
         CHECK(gates.forwarded.front().target_time_left <= milliseconds(400));
         SUBCASE("and gets the gate's answer") {
             gates.callbacks.front()(
-                {router::routed_end::answered, {200, {{"X-Response-Signature", "g"}}, "b", false}});
+                {router::routed_end::answered, {200, {{"X-Response-Signature", "g"}}, "b", false}, {}});
             REQUIRE(it.answer);
             CHECK(it.answer->status == 200);
             CHECK(it.answer->header("X-Response-Signature") == "g");
