Entries: give a gate only the time that the links leave

Cause: an entry passed the whole time to the target latency and to the deadline on to the gate, and waited 25 ms longer for its answer. Change: an entry keeps a moving average of the time on the links to and from each gate, from the gate's own time in its answer, and takes it off the times that it passes on. Result: the test failed before (999 ms passed on of 1000, with links of 100 ms); passes now.

--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "router/duration_estimate.h"
 #include "router/gate_network.h"
 #include "router/poison_requests.h"
 #include "router/protocol_adapter.h"
@@ -180,6 +181,7 @@
     std::map<std::string, std::map<std::string, double>> split_credits_;
     traffic_report report_;
     slot_usage slot_usage_;
+    std::map<std::string, duration_estimate> link_times_; ///< there and back, by gate
     interrupted_requests interrupted_;
     known_poison_requests poison_requests_;
 };
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -3,6 +3,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 // Requests that are forwarded to the gates of their upstreams, and requests from other entries.
 
 namespace kingcupseam::router {
@@ -39,11 +41,13 @@
     out.priority = it->route.priority;
     out.attempts = it->route.attempts;
     out.hops = it->hops + 1;
-    out.time_left = it->deadline - now;
-    out.target_time_left = it->arrived + it->route.target_latency - now;
+    // The gate's answer has to be here in time.
+    const duration_estimate& links = link_times_[it->gate];
+    out.time_left = it->deadline - now - std::min(links.upper(), (it->deadline - now) / 2);
+    out.target_time_left = it->arrived + it->route.target_latency - now - links.mean();
     it->upstream = queue.target().incarnation.id;
     it->sent_at = now;
-    start_deadline_timer(it, out.time_left + gate_answer_time);
+    start_deadline_timer(it, it->deadline - now + gate_answer_time);
     it->gate_request_number = gates_->forward(it->gate, out, [this, it](routed_result result) {
         it->gate_request_number = 0;
         if (requests_.contains(it->id)) {
@@ -55,7 +59,9 @@
 
 void dispatcher::on_routed(const request_ptr& it, routed_result result) {
     if (result.end == routed_end::answered) {
-        slot_usage_.on_forwarded(steady_now() - it->sent_at - result.handled);
+        const duration on_links = steady_now() - it->sent_at - result.handled;
+        link_times_[it->gate].add(on_links);
+        slot_usage_.on_forwarded(on_links);
         finish(it, std::move(result.answer), "routed");
         return;
     }
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -203,6 +203,21 @@
             CHECK(gates.withdrawn == std::vector<std::uint64_t>{1});
         }
     }
+    // Guards against answers that come too late on a slow link: the gate admitted requests up to the target
+    // latency of the caller, and refused others only when the entry had already given up with 504.
+    SUBCASE("is given the time that the links leave") {
+        constexpr duration link_time = milliseconds(100);
+        for (int n = 1; n <= 20; ++n) {
+            it.start("/safe/1");
+            const time_point begun = steady_now();
+            it.run_until([&] { return steady_now() - begun >= link_time; });
+            gates.callbacks.back()({router::routed_end::answered, signed_answer({}), duration::zero()});
+        }
+        it.start("/safe/1");
+        CHECK(gates.forwarded.back().time_left <= milliseconds(1000) - link_time);
+        CHECK(gates.forwarded.back().target_time_left <= milliseconds(400) - link_time);
+        CHECK(gates.forwarded.back().time_left >= milliseconds(500));
+    }
     // Guards against sending a negative time to the gate: it closes the link as malformed, and all requests
     // on that link are lost.
     SUBCASE("is not forwarded when no time is left") {
