Gates: bound the share of an entry

Cause: rendezvous hashing made some entries the gate of 8 upstreams where the mean is 3.6 (79 upstreams, 22 entries). Change: the pairs of upstreams and entries are taken in the order of their hash, and an entry that has its share, rounded up, takes no more. The selection has a class of its own, gate_assignment.

--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -317,6 +317,15 @@
             queues_.emplace(id, std::make_unique<upstream_queue>(it, use_of(it.service)));
         }
     }
+    if (gates_ != nullptr) {
+        std::vector<const directory::upstream*> gated;
+        for (const auto& [id, it] : directory_->upstreams) {
+            if (it.accepts_work() && has_key_ranges(it.service)) {
+                gated.push_back(&it);
+            }
+        }
+        gates_->set_upstreams(gated);
+    }
     const auto waiting = std::exchange(waiting_for_owner_, {});
     for (const auto& it : waiting) {
         it->waiting_for_owner = false;
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -7,7 +7,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace kingcupseam::router {
@@ -16,17 +15,11 @@
 
 using transport::frame_type;
 
-// The preferred gate and a substitute for the time in which a lost entry is still listed.
-constexpr std::size_t gates_per_upstream = 2;
 // Links are numbered from here, so that they differ from callers' connections, which have low numbers.
 constexpr std::uint64_t first_link_connection = std::uint64_t{1} << 62;
 // Added to the request's time limit for the way back of the gate's answer.
 constexpr duration reply_reserve = std::chrono::milliseconds(100);
 
-std::uint32_t rendezvous_score(const std::string& entry, const std::string& upstream) {
-    return shard_of(entry + '/' + upstream, std::numeric_limits<std::uint32_t>::max());
-}
-
 } // namespace
 
 gate_links::gate_links(asio::io_context& context, const transport::peer_identity& self,
@@ -47,40 +40,19 @@
 }
 
 void gate_links::set_entries(std::vector<entry_instance> entries) {
-    std::sort(entries.begin(), entries.end());
-    if (entries == entries_) {
+    if (!assignment_.set_entries(std::move(entries))) {
         return;
     }
-    entries_ = std::move(entries);
-    ranked_entries_.clear();
     std::erase_if(links_, [&](const auto& it) {
-        return std::none_of(entries_.begin(), entries_.end(),
+        const auto& listed = assignment_.entries();
+        return std::none_of(listed.begin(), listed.end(),
                             [&](const entry_instance& known) { return known.name == it.first; }) &&
                !it.second->up() && !it.second->busy();
     });
 }
 
-std::vector<std::string> gate_links::rank_entries(const directory::upstream& target) const {
-    std::vector<std::pair<std::uint32_t, std::string>> scored;
-    for (const auto& it : entries_) {
-        if (it.data_center == target.data_center) {
-            scored.emplace_back(rendezvous_score(it.name, target.incarnation.id), it.name);
-        }
-    }
-    std::sort(scored.rbegin(), scored.rend());
-    std::vector<std::string> result;
-    for (std::size_t i = 0; i < std::min(scored.size(), gates_per_upstream); ++i) {
-        result.push_back(std::move(scored[i].second));
-    }
-    return result;
-}
-
 std::string gate_links::gate_of(const directory::upstream& target) {
-    auto known = ranked_entries_.find(target.incarnation.id);
-    if (known == ranked_entries_.end()) {
-        known = ranked_entries_.emplace(target.incarnation.id, rank_entries(target)).first;
-    }
-    for (const auto& name : known->second) {
+    for (const auto& name : assignment_.gates_of(target)) {
         if (name == self_.id.name) {
             return {};
         }
--- a/src/router/gate_links.h
+++ b/src/router/gate_links.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "router/gate_assignment.h"
 #include "router/gate_network.h"
 
 #include <kingcupseam/transport.h>
@@ -9,22 +10,11 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace kingcupseam::router {
 
-/// An entry as listed by the control group.
-struct entry_instance {
-    std::string name; ///< address at which other entries connect
-    std::string data_center;
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted comparison.
-    auto operator<=>(const entry_instance&) const = default;
-};
-
-/// Links between entries. Rendezvous hashing over the list of entries selects the gate of an upstream, so
-/// entries agree on it without coordination, and losing an entry moves only the upstreams that it was the
-/// gate of. Runs on the traffic thread.
+/// Links between entries. Runs on the traffic thread.
 class gate_links : public gate_network {
 public:
     /// Handlers of messages from other entries, and of the end of their connections.
@@ -43,6 +33,9 @@
     /// @param entries all entries that accept requests
     void set_entries(std::vector<entry_instance> entries);
 
+    void set_upstreams(const std::vector<const directory::upstream*>& upstreams) override {
+        assignment_.set_upstreams(upstreams);
+    }
     std::string gate_of(const directory::upstream& target) override;
     std::uint64_t forward(const std::string& gate, const routed_request& request, on_end done) override;
     void withdraw(const std::string& gate, std::uint64_t number) override;
@@ -50,8 +43,6 @@
 private:
     using connection_ptr = std::shared_ptr<transport::connection>;
 
-    /// The entries that may be the gate of @p target, best first.
-    std::vector<std::string> rank_entries(const directory::upstream& target) const;
     /// Null while the link is down; the first call starts to connect it.
     transport::peer_link* link(const std::string& name);
     void on_frame(const connection_ptr& from, const transport::frame& received);
@@ -62,8 +53,7 @@
     asio::io_context& context_;
     transport::peer_identity self_;
     receiver callbacks_;
-    std::vector<entry_instance> entries_;
-    std::unordered_map<std::string, std::vector<std::string>> ranked_entries_; ///< by upstream id
+    gate_assignment assignment_;
     std::map<std::string, std::unique_ptr<transport::peer_link>> links_;
     /// Pending requests that may run again, by gate and number: they do not wait for a silent gate.
     std::map<std::string, std::map<std::uint64_t, on_end>> repeatable_;
--- a/src/router/gate_network.h
+++ b/src/router/gate_network.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace kingcupseam::router {
 
@@ -49,6 +50,8 @@
     gate_network& operator=(const gate_network&) = delete;
     virtual ~gate_network() = default;
 
+    /// The upstreams that have a gate.
+    virtual void set_upstreams(const std::vector<const directory::upstream*>& upstreams) = 0;
     /// Name of the gate of @p target; empty when this entry sends to the upstream itself.
     virtual std::string gate_of(const directory::upstream& target) = 0;
     /// Calls @p done once, asynchronously, unless the request is withdrawn first.
--- a/tests/platform/dispatcher_harness.h
+++ b/tests/platform/dispatcher_harness.h
@@ -60,6 +60,7 @@
 /// The other entries. Records forwarded requests; the test answers them through the callbacks.
 class fake_gates : public router::gate_network {
 public:
+    void set_upstreams(const std::vector<const directory::upstream*>&) override {}
     std::string gate_of(const directory::upstream&) override { return gate; }
     std::uint64_t forward(const std::string&, const router::routed_request& request, on_end done) override {
         forwarded.push_back(request);
