Gates: serve first what can still be answered in time

Cause: a gate took waiting requests in the order of their arrival, also those already late, and admitted what it expected to end just at the target latency without counting the work in flight. Under a load slightly above capacity the queue stands at the target latency, so that much of each slot's time goes to late answers, and it stays so as long as the load does not fall well below capacity. Change: the next request is the first one that can still be answered in time; the expected time counts half of the work in flight, and of the requests ahead only those that would go first.

--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -163,7 +163,7 @@
         return;
     }
     it->queued = true;
-    queue.push(it->route.priority, it->id);
+    queue.push(it->route.priority, it->id, limit);
     start_queue_timer(it, it->deadline - min_useful_time(queue));
     schedule_send_queued(queue);
 }
@@ -201,7 +201,7 @@
 
 void dispatcher::send_queued(upstream_queue& queue) {
     while (queue.waiting() > 0 && queue.can_send(steady_now())) {
-        const auto id = queue.pop();
+        const auto id = queue.pop(steady_now());
         const auto found = id ? requests_.find(*id) : requests_.end();
         if (found == requests_.end()) {
             continue;
@@ -305,7 +305,7 @@
             ++it;
             continue;
         }
-        while (const auto id = it->second->pop()) {
+        while (const auto id = it->second->pop_any()) {
             displaced.push_back(*id);
         }
         client_.close_idle(it->second->target().address);
--- a/src/router/upstream_queue.cpp
+++ b/src/router/upstream_queue.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint32_t failures_before_ejection = 2;
 constexpr duration base_ejection_time = std::chrono::milliseconds(200);
 constexpr std::uint32_t max_ejection_doublings = 3;
+constexpr double mean_unfinished_part = 0.5; ///< of the work of a request in flight
 constexpr double service_time_weight = 0.15; ///< of the newest answer in the moving average
 constexpr duration load_validity = std::chrono::milliseconds(500);
 
@@ -122,20 +123,34 @@
     }
 }
 
-std::optional<std::uint64_t> upstream_queue::pop() {
-    if (waiting_.empty()) {
+std::optional<std::uint64_t> upstream_queue::pop(time_point now) {
+    const auto first_in_time = std::find_if(waiting_.begin(), waiting_.end(),
+                                            [&](const auto& it) { return now + service_time_ <= it.second; });
+    return take(first_in_time == waiting_.end() ? waiting_.begin() : first_in_time);
+}
+
+std::optional<std::uint64_t> upstream_queue::pop_any() {
+    return take(waiting_.begin());
+}
+
+std::optional<std::uint64_t> upstream_queue::take(std::map<position, time_point>::iterator it) {
+    if (it == waiting_.end()) {
         return std::nullopt;
     }
-    const std::uint64_t result = waiting_.begin()->second;
-    waiting_.erase(waiting_.begin());
+    const std::uint64_t result = it->first.second;
+    waiting_.erase(it);
     return result;
 }
 
 duration upstream_queue::expected_time_if_queued(std::int32_t priority, time_point now) const {
-    const auto ahead = static_cast<double>(std::count_if(
-        waiting_.begin(), waiting_.end(), [&](const auto& it) { return it.first.first <= priority; }));
+    const double window = std::max(window_, min_window);
+    const auto ahead =
+        static_cast<double>(std::count_if(waiting_.begin(), waiting_.end(), [&](const auto& it) {
+            return it.first.first <= priority && now + service_time_ <= it.second;
+        }));
+    const double unfinished = std::min<double>(in_flight_, window) * mean_unfinished_part;
     return (can_send_at(now) - now) +
-           std::chrono::duration_cast<duration>(service_time_ * (1 + ahead / std::max(window_, min_window)));
+           std::chrono::duration_cast<duration>(service_time_ * (1 + (ahead + unfinished) / window));
 }
 
 double upstream_queue::outstanding_requests(time_point now) const {
--- a/src/router/upstream_queue.h
+++ b/src/router/upstream_queue.h
@@ -49,13 +49,18 @@
     /// The request was given up after @p elapsed, which is a lower bound of its service time.
     void on_overdue(duration elapsed);
 
-    void push(std::int32_t priority, std::uint64_t request_id) {
-        waiting_.emplace(position{priority, request_id}, request_id);
+    /// @param in_time_until end of the request's target latency
+    void push(std::int32_t priority, std::uint64_t request_id, time_point in_time_until) {
+        waiting_.emplace(position{priority, request_id}, in_time_until);
     }
     bool remove_waiting(std::int32_t priority, std::uint64_t request_id) {
         return waiting_.erase({priority, request_id}) > 0;
     }
-    std::optional<std::uint64_t> pop();
+    /// Takes the next request: the first one that can still be answered in time, or else the first one. Late
+    /// requests would otherwise delay those behind them until nearly all are late.
+    std::optional<std::uint64_t> pop(time_point now);
+    /// Takes any request.
+    std::optional<std::uint64_t> pop_any();
     std::size_t waiting() const noexcept { return waiting_.size(); }
     /// Estimated time until a request that is queued now is answered.
     duration expected_time_if_queued(std::int32_t priority, time_point now) const;
@@ -70,6 +75,7 @@
 private:
     /// Requests that run or wait at the upstream or are queued here.
     double outstanding_requests(time_point now) const;
+    std::optional<std::uint64_t> take(std::map<position, time_point>::iterator it);
     void update_service_time(duration service_time);
     void adapt_window(const std::optional<reported_load>& load);
 
@@ -84,7 +90,7 @@
     duration service_time_ = std::chrono::milliseconds(100);
     reported_load load_;
     time_point load_at_;
-    std::map<position, std::uint64_t> waiting_;
+    std::map<position, time_point> waiting_; ///< end of the target latency
 };
 
 } // namespace kingcupseam::router
--- a/tests/platform/dispatcher_harness.h
+++ b/tests/platform/dispatcher_harness.h
@@ -139,8 +139,8 @@
         return *answer;
     }
     template <class Condition>
-    void run_until(const Condition& condition) {
-        const time_point end = steady_now() + max_test_time;
+    void run_until(const Condition& condition, duration limit = max_test_time) {
+        const time_point end = steady_now() + limit;
         while (!condition() && steady_now() < end) {
             context.run_one_for(milliseconds(20));
             context.restart();
--- a/tests/router/upstream_queue_test.cpp
+++ b/tests/router/upstream_queue_test.cpp
@@ -67,13 +67,36 @@
     }
 
     SUBCASE("the lower priority number is sent first, then the earlier request") {
-        target.push(2, 1);
-        target.push(0, 2);
-        target.push(0, 3);
-        CHECK(target.pop() == 2);
-        CHECK(target.pop() == 3);
+        const time_point in_time_until = now + service_time * 2;
+        target.push(2, 1, in_time_until);
+        target.push(0, 2, in_time_until);
+        target.push(0, 3, in_time_until);
+        CHECK(target.pop(now) == 2);
+        CHECK(target.pop(now) == 3);
         CHECK(target.remove_waiting(2, 1));
-        CHECK_FALSE(target.pop());
+        CHECK_FALSE(target.pop(now));
+    }
+
+    SUBCASE("a request that is late already waits for those that can be in time") {
+        target.push(0, 1, now + service_time / 2);
+        target.push(0, 2, now + service_time * 2);
+        target.push(1, 3, now + service_time * 2);
+        CHECK(target.pop(now) == 2);
+        CHECK(target.pop(now) == 3);
+        CHECK(target.pop(now) == 1);
+        CHECK_FALSE(target.pop(now));
+    }
+
+    SUBCASE("the expected time covers the work in flight and the requests that go first") {
+        CHECK(target.expected_time_if_queued(0, now) == service_time);
+        target.on_sent(now);
+        target.on_sent(now);
+        CHECK(target.expected_time_if_queued(0, now) == service_time * 3 / 2);
+        target.push(0, 1, now + service_time * 2);
+        target.push(0, 2, now + service_time / 2); // late: others go first
+        target.push(1, 3, now + service_time * 2);
+        CHECK(target.expected_time_if_queued(0, now) == service_time * 2);
+        CHECK(target.expected_time_if_queued(1, now) == service_time * 5 / 2);
     }
 
     SUBCASE("an upstream is ejected for a while after two failures in a row") {
