Gate links: keep a forwarded request until the entry's own limit

A link gave a request up 100 ms after the time that was passed on to the gate, which has been shorter than the entry's own since then. Change: the entry tells the link how long to wait, a moment longer than itself. Result: the test's new check did not compile before, as the link chose its limit itself.

--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -18,6 +18,7 @@
 constexpr std::int32_t max_hops = 2;
 // The gate ends the request at the same deadline; this extra wait lets its more precise answer arrive.
 constexpr duration gate_answer_time = std::chrono::milliseconds(25);
+constexpr duration link_reserve = std::chrono::milliseconds(75);
 
 } // namespace
 
@@ -47,13 +48,16 @@
     out.target_time_left = it->arrived + it->route.target_latency - now - links.mean();
     it->upstream = queue.target().incarnation.id;
     it->sent_at = now;
-    start_deadline_timer(it, it->deadline - now + gate_answer_time);
-    it->gate_request_number = gates_->forward(it->gate, out, [this, it](routed_result result) {
-        it->gate_request_number = 0;
-        if (requests_.contains(it->id)) {
-            on_routed(it, std::move(result));
-        }
-    });
+    const duration limit = it->deadline - now + gate_answer_time;
+    start_deadline_timer(it, limit);
+    // This entry withdraws the request at its own limit, before the link gives it up.
+    it->gate_request_number =
+        gates_->forward(it->gate, out, limit + link_reserve, [this, it](routed_result result) {
+            it->gate_request_number = 0;
+            if (requests_.contains(it->id)) {
+                on_routed(it, std::move(result));
+            }
+        });
     return true;
 }
 
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -17,8 +17,6 @@
 
 // Links are numbered from here, so that they differ from callers' connections, which have low numbers.
 constexpr std::uint64_t first_link_connection = std::uint64_t{1} << 62;
-// Added to the request's time limit for the way back of the gate's answer.
-constexpr duration reply_reserve = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -89,22 +87,24 @@
     }
 }
 
-std::uint64_t gate_links::forward(const std::string& gate, const routed_request& request, on_end done) {
+std::uint64_t gate_links::forward(const std::string& gate, const routed_request& request, duration limit,
+                                  on_end done) {
     const bool repeatable = request.runs == execution::idempotent;
     const auto number = std::make_shared<std::uint64_t>(0);
-    *number = links_.at(gate)->request(
-        {frame_type::routed_request, 0, encode(request)}, request.time_left + reply_reserve,
-        [this, gate, repeatable, number, done](const transport::reply& it) {
-            if (repeatable) {
-                repeatable_[gate].erase(*number);
-            }
-            if (it.answer && it.answer->type == frame_type::routed_reply) {
-                done(decode_routed_result(it.answer->payload));
-                return;
-            }
-            const bool not_sent = !it.answer && it.failure == transport::link_failure::not_sent;
-            done({not_sent ? routed_end::not_accepted : routed_end::lost, {}, {}});
-        });
+    *number =
+        links_.at(gate)->request({frame_type::routed_request, 0, encode(request)}, limit,
+                                 [this, gate, repeatable, number, done](const transport::reply& it) {
+                                     if (repeatable) {
+                                         repeatable_[gate].erase(*number);
+                                     }
+                                     if (it.answer && it.answer->type == frame_type::routed_reply) {
+                                         done(decode_routed_result(it.answer->payload));
+                                         return;
+                                     }
+                                     const bool not_sent =
+                                         !it.answer && it.failure == transport::link_failure::not_sent;
+                                     done({not_sent ? routed_end::not_accepted : routed_end::lost, {}, {}});
+                                 });
     if (repeatable && *number != 0) {
         repeatable_[gate].emplace(*number, std::move(done));
     }
--- a/src/router/gate_links.h
+++ b/src/router/gate_links.h
@@ -37,7 +37,8 @@
         assignment_.set_upstreams(upstreams);
     }
     std::string gate_of(const directory::upstream& target) override;
-    std::uint64_t forward(const std::string& gate, const routed_request& request, on_end done) override;
+    std::uint64_t forward(const std::string& gate, const routed_request& request, duration limit,
+                          on_end done) override;
     void withdraw(const std::string& gate, std::uint64_t number) override;
 
 private:
--- a/src/router/gate_network.h
+++ b/src/router/gate_network.h
@@ -55,8 +55,10 @@
     /// Name of the gate of @p target; empty when this entry sends to the upstream itself.
     virtual std::string gate_of(const directory::upstream& target) = 0;
     /// Calls @p done once, asynchronously, unless the request is withdrawn first.
+    /// @param limit time after which the request counts as lost
     /// @returns a number for withdraw()
-    virtual std::uint64_t forward(const std::string& gate, const routed_request& request, on_end done) = 0;
+    virtual std::uint64_t forward(const std::string& gate, const routed_request& request, duration limit,
+                                  on_end done) = 0;
     virtual void withdraw(const std::string& gate, std::uint64_t number) = 0;
 };
 
--- a/tests/platform/dispatcher_harness.h
+++ b/tests/platform/dispatcher_harness.h
@@ -62,8 +62,10 @@
 public:
     void set_upstreams(const std::vector<const directory::upstream*>&) override {}
     std::string gate_of(const directory::upstream&) override { return gate; }
-    std::uint64_t forward(const std::string&, const router::routed_request& request, on_end done) override {
+    std::uint64_t forward(const std::string&, const router::routed_request& request, duration limit,
+                          on_end done) override {
         forwarded.push_back(request);
+        limits.push_back(limit);
         callbacks.push_back(std::move(done));
         return callbacks.size();
     }
@@ -71,6 +73,7 @@
 
     std::string gate = "other entry";
     std::vector<router::routed_request> forwarded;
+    std::vector<duration> limits;
     std::vector<on_end> callbacks;
     std::vector<std::uint64_t> withdrawn;
 };
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -217,6 +217,8 @@
         CHECK(gates.forwarded.back().time_left <= milliseconds(1000) - link_time);
         CHECK(gates.forwarded.back().target_time_left <= milliseconds(400) - link_time);
         CHECK(gates.forwarded.back().time_left >= milliseconds(500));
+        // The link does not give it up before this entry does.
+        CHECK(gates.limits.back() > milliseconds(1000));
     }
     // Guards against sending a negative time to the gate: it closes the link as malformed, and all requests
     // on that link are lost.
--- a/tests/router/gate_links_test.cpp
+++ b/tests/router/gate_links_test.cpp
@@ -102,7 +102,7 @@
         CHECK(local.links.gate_of(remote_upstream) == to_string(remote.address));
 
         std::optional<routed_result> result;
-        const auto number = local.links.forward(to_string(remote.address), make_request(),
+        const auto number = local.links.forward(to_string(remote.address), make_request(), milliseconds(3000),
                                                 [&](routed_result it) { result = std::move(it); });
         REQUIRE(run_until([&] { return !remote.requests.empty(); }));
         const auto& got = remote.requests.front();
@@ -143,7 +143,7 @@
         SUBCASE("a request that the gate does not accept ends as not accepted") {
             remote.accepts = false;
             std::optional<routed_result> second;
-            local.links.forward(to_string(remote.address), make_request(),
+            local.links.forward(to_string(remote.address), make_request(), milliseconds(3000),
                                 [&](routed_result it) { second = std::move(it); });
             REQUIRE(run_until([&] { return second.has_value(); }));
             CHECK(second->end == routed_end::not_accepted);
@@ -154,7 +154,8 @@
         std::optional<test_entry> third(std::in_place, context, "north");
         third->links.set_entries(entries);
         REQUIRE(run_until([&] { return !third->links.gate_of(remote_upstream).empty(); }));
-        third->links.forward(to_string(remote.address), make_request(), [](const routed_result&) {});
+        third->links.forward(to_string(remote.address), make_request(), milliseconds(3000),
+                             [](const routed_result&) {});
         REQUIRE(run_until([&] { return remote.requests.size() == 1; }));
         third.reset();
         REQUIRE(run_until([&] { return !remote.disconnected.empty(); }));
@@ -180,12 +181,12 @@
         REQUIRE(run_both([&] { return !local.links.gate_of(gated).empty(); }));
         std::optional<routed_result> once;
         std::optional<routed_result> repeatable;
-        local.links.forward(to_string(slow.address), make_request(),
+        local.links.forward(to_string(slow.address), make_request(), milliseconds(3000),
                             [&](routed_result it) { once = std::move(it); });
         auto request = make_request();
         request.runs = execution::idempotent;
         request.time_left = std::chrono::seconds(3);
-        local.links.forward(to_string(slow.address), request,
+        local.links.forward(to_string(slow.address), request, milliseconds(3000),
                             [&](routed_result it) { repeatable = std::move(it); });
         REQUIRE(run_both([&] { return slow.requests.size() == 2; }));
         REQUIRE(run_until([&] { return repeatable.has_value(); }));
@@ -216,7 +217,7 @@
             return gated.has_value();
         }));
         std::optional<routed_result> result;
-        local.links.forward(to_string(other->address), make_request(),
+        local.links.forward(to_string(other->address), make_request(), milliseconds(3000),
                             [&](routed_result it) { result = std::move(it); });
         REQUIRE(run_until([&] { return !other->requests.empty(); }));
         other.reset();
