Upstreams that limit the rate of their requests get no more

A gate paces its upstream's requests; senders that are no gate have equal shares. Entries report what they hear to the leader, which lists it for all entries and counts it as capacity when it plans key ranges, so that callers are served elsewhere. What a limit leaves no room for is refused at once as not run (limited), each with a later time to return.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -119,12 +119,23 @@
   2: bool refused
 }
 
+// What an upstream stated about the requests per second that it accepts from all instances together.
+struct UpstreamLimit {
+  1: string upstream
+  2: i64 upstream_started_ms
+  // Not set once it no longer limits them.
+  3: optional double max_rate
+  // Time since the answer that stated it; 0 in a status.
+  4: i64 age_us
+}
+
 struct ControlStatus {
   1: bool leads
   2: i64 term
   3: list<string> control_instances
   5: list<EntryInstance> entries
   6: list<WatchedRequest> watched
+  7: list<UpstreamLimit> limits
 }
 
 // Sent to control instances by entry instances and by other control instances.
@@ -159,6 +170,7 @@
   3: list<CrashedRequest> crashed
   // Digests of listed poison requests that an upstream answered.
   4: list<i64> survived
+  5: list<UpstreamLimit> limits
 }
 
 // A request of an operator or an upstream that only the leader can serve, forwarded by the control instance that
--- a/include/kingcupseam/key_ranges.h
+++ b/include/kingcupseam/key_ranges.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,7 +33,8 @@
 /// What the leader knows of an upstream besides the directory.
 struct upstream_condition {
     time_point last_announced;
-    double speed = 1; ///< relative to the other upstreams of the service; 2 is twice as fast
+    double speed = 1;               ///< relative to the other upstreams of the service; 2 is twice as fast
+    std::optional<double> max_load; ///< load that it accepts at most, in the unit of key_loads
 };
 
 struct planner_options {
@@ -53,7 +55,8 @@
 /// An upstream that may own more ranges.
 struct candidate {
     directory::upstream_incarnation incarnation;
-    double weight = 1; ///< relative capacity
+    double weight = 1;              ///< relative capacity
+    std::optional<double> max_load; ///< as in upstream_condition
 };
 
 /// A part of a range to be assigned to another owner.
--- a/src/key_ranges/lease_manager.cpp
+++ b/src/key_ranges/lease_manager.cpp
@@ -150,7 +150,8 @@
     std::vector<candidate> result;
     for (const auto& [id, it] : known.state.upstreams) {
         if (it.service == service && it.accepts_work() && !is_silent(id, known, now)) {
-            result.push_back({it.incarnation, it.slots * known.conditions.at(id).speed});
+            const auto& condition = known.conditions.at(id);
+            result.push_back({it.incarnation, it.slots * condition.speed, condition.max_load});
         }
     }
     return result;
--- a/src/key_ranges/planner.cpp
+++ b/src/key_ranges/planner.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t key_count = directory::last_key + 1;
 // Fraction of the load that is spread evenly over all keys, so that ranges without requests count by width.
 constexpr double background_share = 0.2;
+// Part of its weight that a limited upstream keeps at least.
+constexpr double min_limited_weight = 0.01;
 
 /// Prefix sums of the load, for the load of any range.
 class load_table {
@@ -39,6 +41,40 @@
     std::vector<double> sums_;
 };
 
+/// Lowers weights so that in a distribution by weight no upstream has more than its limit, as long as the
+/// others can have the rest.
+std::vector<candidate> within_limits(std::vector<candidate> candidates, double total_load) {
+    // Those that reach their limit first are set apart, until the rest has room for the remaining load.
+    std::vector<candidate*> limited;
+    double free_weight = 0;
+    for (auto& it : candidates) {
+        free_weight += it.weight;
+        if (it.max_load) {
+            limited.push_back(&it);
+        }
+    }
+    std::sort(limited.begin(), limited.end(), [](const candidate* a, const candidate* b) {
+        return *a->max_load / a->weight < *b->max_load / b->weight;
+    });
+    double free_load = total_load;
+    double load_per_weight = total_load / free_weight;
+    for (const candidate* it : limited) {
+        if (*it->max_load >= load_per_weight * it->weight) {
+            break;
+        }
+        free_load -= *it->max_load;
+        free_weight -= it->weight;
+        if (free_weight <= 0 || free_load <= 0) {
+            break; // all are limited: the load is divided in proportion to the limits
+        }
+        load_per_weight = free_load / free_weight;
+    }
+    for (candidate* it : limited) {
+        it->weight = std::clamp(*it->max_load / load_per_weight, it->weight * min_limited_weight, it->weight);
+    }
+    return candidates;
+}
+
 struct upstream_load {
     candidate upstream;
     double load = 0;
@@ -260,7 +296,7 @@
 std::vector<planned_move> plan_vacant(const std::vector<key_range>& vacant, const range_map& owned,
                                       const std::vector<candidate>& candidates, const key_loads& load) {
     const load_table loads(load);
-    upstream_loads upstreams(owned, candidates, loads);
+    upstream_loads upstreams(owned, within_limits(candidates, load.total()), loads);
     std::vector<planned_move> result;
     if (upstreams.empty()) {
         return result;
@@ -278,7 +314,7 @@
                                      const std::vector<candidate>& candidates, const key_loads& load,
                                      const planner_options& settings) {
     const load_table loads(load);
-    upstream_loads upstreams(owned, candidates, loads);
+    upstream_loads upstreams(owned, within_limits(candidates, load.total()), loads);
     std::vector<planned_move> result;
     if (upstreams.empty()) {
         return result;
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -1,5 +1,6 @@
 #include "router/control_links.h"
 
+#include "router/limit_codec.h"
 #include "router/link_settings.h"
 
 #include <kingcupseam/error.h>
@@ -93,6 +94,7 @@
             listed.push_back({static_cast<request_digest>(it.digest), it.refused});
         }
         callbacks_.on_poison_requests(std::move(listed));
+        callbacks_.on_limits(from_wire(status.limits));
     }
     choose_source();
 }
@@ -199,6 +201,7 @@
     for (const auto digest : report.survived) {
         out.survived.push_back(static_cast<std::int64_t>(digest));
     }
+    out.limits = to_wire(report.limits);
     link(source_).notify({frame_type::load_report, 0, encode(out)});
 }
 
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -26,6 +26,7 @@
         std::function<void(directory::snapshot_ptr)> on_directory;
         std::function<void(std::vector<entry_instance>)> on_entries; ///< entries that accept requests
         std::function<void(std::vector<poison_request>)> on_poison_requests;
+        std::function<void(std::vector<limit_statement>)> on_limits;
     };
 
     control_links(asio::io_context& context, const process_settings& settings, observer callbacks);
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -3,6 +3,7 @@
 #include "app/instance/control_context.h"
 #include "router/control_orders.h"
 #include "router/link_settings.h"
+#include "router/load_decay.h"
 
 #include <kingcupseam/error.h>
 #include <kingcupseam/storage.h>
@@ -27,8 +28,6 @@
 constexpr duration lease_manager_interval = std::chrono::milliseconds(80);
 constexpr duration join_interval = std::chrono::seconds(1);
 constexpr duration min_status_interval = std::chrono::milliseconds(200);
-constexpr duration decay_interval = std::chrono::milliseconds(500);
-constexpr double decay_factor = 0.8; ///< the load halves in 1.6 s, about a third of the duration of a hot key
 // Longer than outages of zones and machines.
 constexpr duration max_upstream_silence = std::chrono::seconds(40);
 
@@ -218,6 +217,7 @@
         conditions_.clear();
         last_announcements_.clear();
         key_loads_.clear();
+        limits_.clear();
         poison_detector_ = poison_request_detector();
         for (const auto& [id, it] : state_machine_.state()->upstreams) {
             conditions_[id].last_announced = now;
@@ -230,9 +230,9 @@
 
 void control_node::tick_leader(time_point now) {
     if (now >= next_decay_) {
-        next_decay_ = now + decay_interval;
+        next_decay_ = now + load_decay_interval;
         for (auto& [service, it] : key_loads_) {
-            it.decay(decay_factor);
+            it.decay(load_decay_factor);
         }
         poison_detector_.expire(now);
         replace_lost_members(now);
@@ -247,6 +247,7 @@
 void control_node::run_lease_manager(time_point now) {
     const task_times::scope measured(task_times_, control_task::plan);
     update_speeds();
+    update_limits(now);
     auto effects = lease_manager_->tick({*state_machine_.state(), conditions_, key_loads_}, now);
     const std::uint64_t generation = lease_manager_generation_;
     if (!effects.command.empty()) {
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -8,6 +8,7 @@
 #include "router/protocol_adapter.h"
 #include "router/settings.h"
 #include "router/task_times.h"
+#include "router/upstream_limits.h"
 
 #include <kingcupseam/consensus.h>
 #include <kingcupseam/key_ranges.h>
@@ -68,6 +69,8 @@
     void on_load_report(const std::string& payload);
     void on_crash_reports(const wire::LoadReport& report);
     void update_speeds();
+    /// Passes the limits that upstreams have stated on to the planner.
+    void update_limits(time_point now);
     void send_status(const std::shared_ptr<transport::connection>& to);
     void broadcast_status();
     std::string status_payload();
@@ -102,6 +105,7 @@
     std::map<std::string, last_announcement> last_announcements_;
     std::map<std::string, key_ranges::key_loads> key_loads_;
     std::map<std::string, double> service_times_; ///< moving average in microseconds, by upstream id
+    upstream_limits limits_;                      ///< as reported by entries
     poison_request_detector poison_detector_;
     bool leading_ = false;
     time_point next_lease_manager_run_;
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -1,5 +1,8 @@
 #include "router/control_node.h"
 
+#include "router/limit_codec.h"
+#include "router/load_decay.h"
+
 #include <directory_types.h>
 #include <spdlog/spdlog.h>
 
@@ -22,6 +25,9 @@
 // that its recovery is noticed.
 constexpr double min_speed = 0.08;
 constexpr double max_speed = 3.0;
+/// Load that the requests of one second leave in key_loads, in the mean between two decays.
+constexpr double load_per_rate = std::chrono::duration<double>(load_decay_interval).count() *
+                                 (1 + load_decay_factor) / 2 / (1 - load_decay_factor);
 
 } // namespace
 
@@ -45,6 +51,9 @@
         double& average = service_times_[it.upstream];
         average = average <= 0 ? mean : average * kept + mean * (1 - kept);
     }
+    for (const auto& it : from_wire(report.limits)) {
+        status_due_ = limits_.add(it, steady_now()) || status_due_;
+    }
     if (!report.crashed.empty() || !report.survived.empty()) {
         on_crash_reports(report);
     }
@@ -86,6 +95,17 @@
     }
 }
 
+void control_node::update_limits(time_point now) {
+    limits_.expire(now);
+    for (auto& [id, it] : conditions_) {
+        const auto known = state_machine_.state()->upstreams.find(id);
+        const auto max_rate = known == state_machine_.state()->upstreams.end()
+                                  ? std::nullopt
+                                  : limits_.limit_of(known->second.incarnation, now);
+        it.max_load = max_rate ? std::optional(*max_rate * load_per_rate) : std::nullopt;
+    }
+}
+
 std::string control_node::status_payload() {
     wire::ControlStatus status;
     status.leads = leading_;
@@ -106,6 +126,11 @@
         it.refused = listed.refused;
         status.watched.push_back(it);
     }
+    auto limits = limits_.list(steady_now());
+    for (auto& it : limits) {
+        it.age = {}; // a status is sent again only when it has changed
+    }
+    status.limits = to_wire(limits);
     for (const auto& [name, it] : entries_) {
         wire::EntryInstance entry;
         entry.name = name;
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -158,8 +158,9 @@
     // A request that waits beyond its target latency makes those behind it late as well.
     const time_point limit = std::min(it->deadline, std::max(it->arrived + it->route.target_latency, now));
     it->upstream = queue.target().incarnation.id;
-    if (now + queue.expected_time_if_queued(it->route.priority, now) > limit) {
-        refuse_or_fail(it, status_bad_gateway, "crowded");
+    const time_point expected = now + queue.expected_time_if_queued(it->route.priority, now);
+    if (expected > limit) {
+        refuse_for_lack_of_room(it, queue, expected - limit);
         return;
     }
     it->queued = true;
@@ -326,6 +327,7 @@
         }
         gates_->set_upstreams(gated);
     }
+    apply_limits();
     const auto waiting = std::exchange(waiting_for_owner_, {});
     for (const auto& it : waiting) {
         it->waiting_for_owner = false;
@@ -373,7 +375,36 @@
 }
 
 traffic_report dispatcher::take_report() {
+    report_.limits = limits_.take_new(steady_now());
     return std::exchange(report_, {});
 }
 
+void dispatcher::set_limits(const std::vector<limit_statement>& listed) {
+    limits_.set_listed(listed);
+    apply_limits();
+}
+
+void dispatcher::set_entry_count(int entries) {
+    entry_count_ = std::max(entries, 1);
+    apply_limits();
+}
+
+void dispatcher::apply_limits() {
+    for (const auto& [id, it] : queues_) {
+        apply_limit(*it);
+    }
+}
+
+void dispatcher::apply_limit(upstream_queue& queue) {
+    auto max_rate = limits_.limit_of(queue.target().incarnation, steady_now());
+    if (!max_rate) {
+        queue.set_max_rate(std::nullopt);
+        return;
+    }
+    // A gate sends for all entries. Others, and all entries where there are no gates, have equal shares.
+    const bool sends_for_all =
+        gates_ != nullptr && has_key_ranges(queue.target().service) && gates_->is_gate(queue.target());
+    queue.set_max_rate(sends_for_all ? *max_rate : *max_rate / entry_count_);
+}
+
 } // namespace kingcupseam::router
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -7,6 +7,7 @@
 #include "router/retry_budget.h"
 #include "router/slot_usage.h"
 #include "router/upstream_client.h"
+#include "router/upstream_limits.h"
 #include "router/upstream_queue.h"
 
 #include <kingcupseam/directory.h>
@@ -56,7 +57,10 @@
     std::map<std::string, service_time> upstreams; ///< by id; only requests that were not queued there
     std::vector<crash_report> crashed;
     std::set<request_digest> survived; ///< listed poison requests that an upstream answered
-    bool empty() const { return keys.empty() && upstreams.empty() && crashed.empty() && survived.empty(); }
+    std::vector<limit_statement> limits;
+    bool empty() const {
+        return keys.empty() && upstreams.empty() && crashed.empty() && survived.empty() && limits.empty();
+    }
 };
 
 /// Routes callers' requests to upstreams, with queues, retries and cancellation. Runs on the traffic thread.
@@ -84,7 +88,9 @@
     void set_poison_requests(const std::vector<poison_request>& listed) {
         poison_requests_.update(listed, steady_now());
     }
-    void set_entry_count(int entries) { entry_count_ = entries < 1 ? 1 : entries; }
+    /// The leader's current list of limits that upstreams have stated.
+    void set_limits(const std::vector<limit_statement>& listed);
+    void set_entry_count(int entries);
     /// Makes every further answer close its connection.
     void start_draining() { draining_ = true; }
     /// Refuses new requests, so that none is interrupted when the process exits.
@@ -143,9 +149,16 @@
     void on_timeout(const request_ptr& it);
     /// Refuses a request that certainly has not run; one that may have run fails with @p status_in_doubt.
     void refuse_or_fail(const request_ptr& it, int status_in_doubt, const char* reason);
+    /// Refuses a request that would be late in @p queue, and tells its caller when there will be room.
+    /// @param excess time by which it would have been late
+    void refuse_for_lack_of_room(const request_ptr& it, upstream_queue& queue, duration excess);
+    /// Sets the rate at which this entry may send to the upstream of @p queue.
+    void apply_limit(upstream_queue& queue);
+    void apply_limits();
     /// Answers 503 with Retry-After, which promises that the request has not run. @p reason goes into the log
     /// and the metrics; src/app/explain.cpp has a sentence for each reason.
-    void refuse(const request_ptr& it, const char* reason);
+    void refuse(const request_ptr& it, const char* reason) { refuse(it, reason, settings_.retry_after); }
+    void refuse(const request_ptr& it, const char* reason, duration retry_after);
     void fail(const request_ptr& it, int status, const char* reason);
     void finish(const request_ptr& it, app::http_response answer, const char* outcome);
     void remove(const request_ptr& it);
@@ -182,6 +195,7 @@
     traffic_report report_;
     slot_usage slot_usage_;
     std::map<std::string, duration_estimate> link_times_; ///< there and back, by gate
+    upstream_limits limits_;
     interrupted_requests interrupted_;
     known_poison_requests poison_requests_;
 };
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -62,6 +62,12 @@
 void dispatcher::on_answer(const request_ptr& it, upstream_queue* from, app::http_response answer) {
     const time_point now = steady_now();
     const answer_metadata metadata = protocol_.read_answer(it->request, answer);
+    if (from != nullptr && !metadata.wrong_upstream &&
+        limits_.add({from->target().incarnation, metadata.asked.max_rate, {}}, now)) {
+        spdlog::info("upstream limit id={} per_second={}", from->target().incarnation.id,
+                     metadata.asked.max_rate.value_or(0));
+        apply_limit(*from);
+    }
     if (metadata.not_executed) {
         --it->possible_runs;
         if (from != nullptr) {
@@ -220,10 +226,20 @@
     }
 }
 
-void dispatcher::refuse(const request_ptr& it, const char* reason) {
+void dispatcher::refuse_for_lack_of_room(const request_ptr& it, upstream_queue& queue, duration excess) {
+    if (it->in_doubt) {
+        fail(it, status_bad_gateway, "crowded");
+    } else if (queue.rate_limited()) {
+        refuse(it, "limited", queue.reserve_return(it->route.priority, excess, steady_now()));
+    } else {
+        refuse(it, "crowded");
+    }
+}
+
+void dispatcher::refuse(const request_ptr& it, const char* reason, duration retry_after) {
     slot_usage_.on_refused();
     app::http_response answer{status_unavailable, {}, {}, false};
-    answer.headers.emplace_back("Retry-After", fmt::format("{:.3f}", seconds(settings_.retry_after)));
+    answer.headers.emplace_back("Retry-After", fmt::format("{:.3f}", seconds(retry_after)));
     spdlog::info("request id={} outcome=not-run reason={} service={} upstream={} age_ms={} directory={}",
                  it->request.id, reason, it->service, it->upstream,
                  (steady_now() - it->arrived).count() / microseconds_per_millisecond, directory_->index);
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -94,6 +94,9 @@
         asio::post(traffic_.io,
                    [this, listed = std::move(listed)] { dispatcher_->set_poison_requests(listed); });
     };
+    callbacks.on_limits = [this](std::vector<limit_statement> listed) {
+        asio::post(traffic_.io, [this, listed = std::move(listed)] { dispatcher_->set_limits(listed); });
+    };
     links_ = std::make_unique<control_links>(control_.io, settings_, std::move(callbacks));
     make_gates();
 }
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -49,6 +49,11 @@
     });
 }
 
+bool gate_links::is_gate(const directory::upstream& target) {
+    const auto& gates = assignment_.gates_of(target);
+    return std::find(gates.begin(), gates.end(), self_.id.name) != gates.end();
+}
+
 std::string gate_links::gate_of(const directory::upstream& target) {
     for (const auto& name : assignment_.gates_of(target)) {
         if (name == self_.id.name) {
--- a/src/router/gate_links.h
+++ b/src/router/gate_links.h
@@ -36,6 +36,7 @@
     void set_upstreams(const std::vector<const directory::upstream*>& upstreams) override {
         assignment_.set_upstreams(upstreams);
     }
+    bool is_gate(const directory::upstream& target) override;
     std::string gate_of(const directory::upstream& target) override;
     std::uint64_t forward(const std::string& gate, const routed_request& request, duration limit,
                           on_end done) override;
--- a/src/router/gate_network.h
+++ b/src/router/gate_network.h
@@ -52,6 +52,8 @@
 
     /// The upstreams that have a gate.
     virtual void set_upstreams(const std::vector<const directory::upstream*>& upstreams) = 0;
+    /// True when this entry is the gate of @p target or its substitute.
+    virtual bool is_gate(const directory::upstream& target) = 0;
     /// Name of the gate of @p target; empty when this entry sends to the upstream itself.
     virtual std::string gate_of(const directory::upstream& target) = 0;
     /// Calls @p done once, asynchronously, unless the request is withdrawn first.
--- a/src/router/protocol_adapter.h
+++ b/src/router/protocol_adapter.h
@@ -34,6 +34,16 @@
     std::int32_t slots = 0;
 };
 
+/// What an upstream asks of its callers in an answer.
+struct backpressure {
+    /// Requests per second that it accepts from all instances together, until an answer names another limit
+    /// or none.
+    std::optional<double> max_rate;
+    duration pause{};     ///< time for which it wants no requests from this instance
+    bool leaving = false; ///< it is about to stop
+    bool operator==(const backpressure&) const = default;
+};
+
 /// Properties of an upstream's answer.
 struct answer_metadata {
     bool not_executed = false; ///< the upstream states that the request did not run
@@ -42,6 +52,7 @@
     bool wrong_upstream = false; ///< sent to the wrong upstream, or to one that does not own the key
     bool authentic = false;      ///< carries the upstream's signature and an unmodified body
     std::optional<reported_load> load;
+    backpressure asked;
 };
 
 /// A report of an upstream about itself.
--- a/src/router/upstream_queue.cpp
+++ b/src/router/upstream_queue.cpp
@@ -30,6 +30,17 @@
 upstream_queue::upstream_queue(directory::upstream target, upstream_use use)
     : target_(std::move(target)), use_(use), window_(std::max(target_.slots, 1)) {}
 
+void upstream_queue::set_max_rate(std::optional<double> per_second) {
+    if (!per_second) {
+        rate_limit_.reset();
+        returns_.clear();
+    } else if (rate_limit_) {
+        rate_limit_->set_rate(*per_second);
+    } else {
+        rate_limit_.emplace(*per_second);
+    }
+}
+
 bool upstream_queue::can_send(time_point now) const {
     if (now < can_send_at(now)) {
         return false;
@@ -39,6 +50,9 @@
 
 time_point upstream_queue::can_send_at(time_point now) const {
     time_point result = std::max(now, ejected_until_);
+    if (rate_limit_) {
+        result = std::max(result, rate_limit_->next_send(now));
+    }
     if (in_flight_ > 0) {
         result = std::max(result, shed_until_);
     }
@@ -47,6 +61,9 @@
 
 void upstream_queue::on_sent(time_point now) {
     ++in_flight_;
+    if (rate_limit_) {
+        rate_limit_->on_sent(now);
+    }
     next_send_ = now + std::chrono::duration_cast<duration>(service_time_ / std::max(window_, min_window));
 }
 
@@ -149,8 +166,11 @@
             return it.first.first <= priority && now + service_time_ <= it.second;
         }));
     const double unfinished = std::min<double>(in_flight_, window) * mean_unfinished_part;
-    return (can_send_at(now) - now) +
-           std::chrono::duration_cast<duration>(service_time_ * (1 + (ahead + unfinished) / window));
+    auto wait = std::chrono::duration_cast<duration>(service_time_ * ((ahead + unfinished) / window));
+    if (rate_limit_) {
+        wait = std::max(wait, std::chrono::duration_cast<duration>(rate_limit_->interval() * ahead));
+    }
+    return (can_send_at(now) - now) + wait + service_time_;
 }
 
 double upstream_queue::outstanding_requests(time_point now) const {
@@ -163,12 +183,33 @@
 duration upstream_queue::expected_time_if_sent(time_point now) const {
     const double slots = std::max(target_.slots, 1);
     const double ahead = std::max(outstanding_requests(now) + 1 - slots, 0.0);
-    return std::chrono::duration_cast<duration>(service_time_ * (1 + ahead / slots));
+    return rate_wait(now) + std::chrono::duration_cast<duration>(service_time_ * (1 + ahead / slots));
+}
+
+duration upstream_queue::rate_wait(time_point now) const {
+    return rate_limit_ ? rate_limit_->next_send(now) - now +
+                             rate_limit_->interval() * static_cast<std::int64_t>(waiting_.size())
+                       : duration::zero();
+}
+
+duration upstream_queue::reserve_return(std::int32_t priority, duration excess, time_point now) {
+    const duration interval =
+        rate_limit_ ? rate_limit_->interval()
+                    : std::chrono::duration_cast<duration>(service_time_ / std::max(window_, min_window));
+    time_point result = now + excess;
+    for (const auto& [other, last] : returns_) {
+        if (other <= priority) {
+            result = std::max(result, last + interval);
+        }
+    }
+    returns_[priority] = result;
+    return result - now;
 }
 
 double upstream_queue::cost(time_point now) const {
     return (outstanding_requests(now) + 1) / std::max(target_.slots, 1) *
-           static_cast<double>(service_time_.count());
+               static_cast<double>(service_time_.count()) +
+           static_cast<double>(rate_wait(now).count());
 }
 
 } // namespace kingcupseam::router
--- a/src/router/upstream_queue.h
+++ b/src/router/upstream_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "router/protocol_adapter.h"
+#include "router/rate_limit.h"
 
 #include <kingcupseam/directory.h>
 #include <kingcupseam/types.h>
@@ -34,6 +35,10 @@
         use_ = use;
     }
 
+    /// Limits the requests that this entry sends, per second; nullopt ends the limit.
+    void set_max_rate(std::optional<double> per_second);
+    bool rate_limited() const noexcept { return rate_limit_.has_value(); }
+
     bool can_send(time_point now) const;
     /// When can_send() becomes true by the passing of time alone; @p now when it does not depend on time.
     time_point can_send_at(time_point now) const;
@@ -64,6 +69,10 @@
     std::size_t waiting() const noexcept { return waiting_.size(); }
     /// Estimated time until a request that is queued now is answered.
     duration expected_time_if_queued(std::int32_t priority, time_point now) const;
+    /// When a request that is refused now finds room if it returns, from now on. Each call reserves a later
+    /// time, less urgent requests after more urgent ones.
+    /// @param excess time by which it would have been late
+    duration reserve_return(std::int32_t priority, duration excess, time_point now);
     /// Estimated time until a request that is sent now is answered, from the known load.
     duration expected_time_if_sent(time_point now) const;
     duration service_time() const noexcept { return service_time_; }
@@ -76,6 +85,8 @@
     /// Requests that run or wait at the upstream or are queued here.
     double outstanding_requests(time_point now) const;
     std::optional<std::uint64_t> take(std::map<position, time_point>::iterator it);
+    /// Time until the rate limit allows one more request after those that wait.
+    duration rate_wait(time_point now) const;
     void update_service_time(duration service_time);
     void adapt_window(const std::optional<reported_load>& load);
 
@@ -88,6 +99,8 @@
     time_point shed_until_;
     time_point next_send_; ///< earliest next send while the window is below one
     duration service_time_ = std::chrono::milliseconds(100);
+    std::optional<rate_limit> rate_limit_;
+    std::map<std::int32_t, time_point> returns_; ///< last reserved return, by priority
     reported_load load_;
     time_point load_at_;
     std::map<position, time_point> waiting_; ///< end of the target latency
--- a/tests/key_ranges/planner_test.cpp
+++ b/tests/key_ranges/planner_test.cpp
@@ -103,6 +103,57 @@
     }
 }
 
+// Guards against keys that stay with an upstream which accepts only a part of their requests.
+TEST_CASE("a limit of an upstream counts as its capacity") {
+    service_fixture fixture;
+    fixture.load = key_loads();
+    for (key_number key = 0; key <= directory::last_key; key += 50) {
+        fixture.load.add(key, 0.1);
+    }
+    const double fair_load = fixture.load.total() / static_cast<double>(fixture.candidates.size());
+    const auto load_of = [&](int upstream, const std::vector<planned_move>& moves) {
+        double result = 0;
+        for (key_number key = 0; key <= directory::last_key; ++key) {
+            auto owner = std::prev(fixture.owned.upper_bound(key))->second.owner;
+            for (const auto& it : moves) {
+                owner = key >= it.first && key <= it.last ? it.target : owner;
+            }
+            result += owner == incarnation(upstream) ? fixture.load.requests_for(key) : 0;
+        }
+        return result;
+    };
+
+    SUBCASE("the keys beyond it move to upstreams that have room") {
+        fixture.candidates[0].max_load = fair_load / 2;
+        const auto moves = fixture.plan();
+        CHECK(load_of(0, moves) <= fair_load * 0.7);
+        for (const auto& it : moves) {
+            CHECK(it.from == incarnation(0));
+        }
+    }
+    SUBCASE("one above the load changes nothing") {
+        fixture.candidates[0].max_load = fair_load * 2;
+        CHECK(fixture.plan().empty());
+    }
+    SUBCASE("when all are limited, the keys are divided in proportion") {
+        for (auto& it : fixture.candidates) {
+            it.max_load = fair_load / 2;
+        }
+        CHECK(fixture.plan().empty());
+        fixture.candidates[0].max_load = fair_load / 10;
+        CHECK(load_of(0, fixture.plan()) < fair_load * 0.5);
+    }
+    SUBCASE("vacant keys go to upstreams that have room") {
+        fixture.candidates[0].max_load = 0;
+        const key_range vacant{0, 6000, {}, 0};
+        fixture.owned.clear();
+        for (const auto& it : plan_vacant({vacant}, fixture.owned, fixture.candidates, fixture.load)) {
+            const bool small = it.last - it.first < 600;
+            CHECK((small || it.target != incarnation(0)));
+        }
+    }
+}
+
 TEST_CASE("vacant keys go to the upstreams with the least load for their weight") {
     service_fixture fixture(4);
     const auto first = fixture.movable.front();
--- a/tests/platform/dispatcher_harness.h
+++ b/tests/platform/dispatcher_harness.h
@@ -61,7 +61,8 @@
 class fake_gates : public router::gate_network {
 public:
     void set_upstreams(const std::vector<const directory::upstream*>&) override {}
-    std::string gate_of(const directory::upstream&) override { return gate; }
+    bool is_gate(const directory::upstream&) override { return gate.empty(); }
+    std::string gate_of(const directory::upstream&) override { return linked ? gate : std::string(); }
     std::uint64_t forward(const std::string&, const router::routed_request& request, duration limit,
                           on_end done) override {
         forwarded.push_back(request);
@@ -72,6 +73,7 @@
     void withdraw(const std::string&, std::uint64_t number) override { withdrawn.push_back(number); }
 
     std::string gate = "other entry";
+    bool linked = true; ///< whether the gate can be reached
     std::vector<router::routed_request> forwarded;
     std::vector<duration> limits;
     std::vector<on_end> callbacks;
