Upstreams that leave by their answers get no more requests

Cause: an upstream that is about to stop may say so only in its answers (Server-Leaving). Change: an entry stops to send to it within three quarters of the drain period, which is a setting now, also when it has heard it through a gate; it reports it until the directory shows it, and the leader proposes the upstream as draining, so that all entries stop and its keys move.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -157,6 +157,11 @@
   3: i64 service_time_us
 }
 
+struct LeavingUpstream {
+  1: string upstream
+  2: i64 upstream_started_ms
+}
+
 // A request that was in progress at an upstream when the upstream crashed.
 struct CrashedRequest {
   1: i64 digest
@@ -171,6 +176,8 @@
   // Digests of listed poison requests that an upstream answered.
   4: list<i64> survived
   5: list<UpstreamLimit> limits
+  // Upstreams that said in an answer that they are about to stop.
+  6: list<LeavingUpstream> leaving
 }
 
 // A request of an operator or an upstream that only the leader can serve, forwarded by the control instance that
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -202,6 +202,12 @@
         out.survived.push_back(static_cast<std::int64_t>(digest));
     }
     out.limits = to_wire(report.limits);
+    for (const auto& it : report.leaving) {
+        wire::LeavingUpstream leaving;
+        leaving.upstream = it.id;
+        leaving.upstream_started_ms = it.started_ms;
+        out.leaving.push_back(std::move(leaving));
+    }
     link(source_).notify({frame_type::load_report, 0, encode(out)});
 }
 
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -67,6 +67,9 @@
     void on_join(const std::shared_ptr<transport::connection>& from, const wire::JoinRequest& request);
     void on_order(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void on_load_report(const std::string& payload);
+    /// Upstreams that have told entries that they are about to stop are treated as if they had reported it
+    /// here.
+    void on_leaving_reports(const wire::LoadReport& report);
     void on_crash_reports(const wire::LoadReport& report);
     void update_speeds();
     /// Passes the limits that upstreams have stated on to the planner.
@@ -106,6 +109,7 @@
     std::map<std::string, key_ranges::key_loads> key_loads_;
     std::map<std::string, double> service_times_; ///< moving average in microseconds, by upstream id
     upstream_limits limits_;                      ///< as reported by entries
+    std::set<directory::upstream_incarnation> drains_proposed_;
     poison_request_detector poison_detector_;
     bool leading_ = false;
     time_point next_lease_manager_run_;
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -51,6 +51,7 @@
         double& average = service_times_[it.upstream];
         average = average <= 0 ? mean : average * kept + mean * (1 - kept);
     }
+    on_leaving_reports(report);
     for (const auto& it : from_wire(report.limits)) {
         status_due_ = limits_.add(it, steady_now()) || status_due_;
     }
@@ -59,6 +60,22 @@
     }
 }
 
+void control_node::on_leaving_reports(const wire::LoadReport& report) {
+    for (const auto& it : report.leaving) {
+        const directory::upstream_incarnation incarnation{it.upstream, it.upstream_started_ms};
+        const auto* known = state_machine_.state()->find(incarnation);
+        if (known == nullptr || !known->accepts_work() || !drains_proposed_.insert(incarnation).second) {
+            continue;
+        }
+        spdlog::info("upstream drains by its answers id={} started_ms={}", it.upstream,
+                     it.upstream_started_ms);
+        directory::command change;
+        change.upstreams.push_back(*known);
+        change.upstreams.back().draining = true;
+        propose(change, [this, incarnation](bool) { drains_proposed_.erase(incarnation); });
+    }
+}
+
 void control_node::on_crash_reports(const wire::LoadReport& report) {
     for (const auto& it : report.crashed) {
         const auto digest = static_cast<request_digest>(it.digest);
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -128,6 +128,10 @@
     if (forward_to_gate(it, *queue)) {
         return;
     }
+    if (queue->stopped(steady_now())) {
+        wait_for_owner(it);
+        return;
+    }
     if (queue->can_send(steady_now())) {
         send(it, *queue);
     } else {
@@ -211,7 +215,7 @@
         it->queued = false;
         it->wait_timer.cancel();
         upstream_queue* selected = select_upstream(it);
-        if (selected == &queue) {
+        if (selected == &queue && !queue.stopped(steady_now())) {
             send(it, queue);
         } else {
             dispatch(it);
@@ -376,6 +380,11 @@
 
 traffic_report dispatcher::take_report() {
     report_.limits = limits_.take_new(steady_now());
+    std::erase_if(leaving_, [&](const auto& it) {
+        const auto* known = directory_->find(it);
+        return known == nullptr || !known->accepts_work();
+    });
+    report_.leaving.assign(leaving_.begin(), leaving_.end());
     return std::exchange(report_, {});
 }
 
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -33,6 +33,9 @@
     /// A new owner may not have received its grant yet: for this time after a directory update, a key that
     /// the owner refuses is retried there. Later, a refusal means that the key is moving to another owner.
     duration grant_delay = std::chrono::milliseconds(100);
+    /// Time for which an upstream that says in an answer that it is about to stop is sent further requests,
+    /// so that its keys can move first.
+    duration leaving_send_time = std::chrono::milliseconds(1500);
     /// Delay before the retry of a request that was shed.
     duration shed_backoff = std::chrono::milliseconds(40);
     /// Retry-After value for refused callers; about as long as a handover or a few requests take.
@@ -58,8 +61,11 @@
     std::vector<crash_report> crashed;
     std::set<request_digest> survived; ///< listed poison requests that an upstream answered
     std::vector<limit_statement> limits;
+    std::vector<directory::upstream_incarnation>
+        leaving; ///< have said in an answer that they are about to stop
     bool empty() const {
-        return keys.empty() && upstreams.empty() && crashed.empty() && survived.empty() && limits.empty();
+        return keys.empty() && upstreams.empty() && crashed.empty() && survived.empty() && limits.empty() &&
+               leaving.empty();
     }
 };
 
@@ -152,6 +158,8 @@
     /// Refuses a request that would be late in @p queue, and tells its caller when there will be room.
     /// @param excess time by which it would have been late
     void refuse_for_lack_of_room(const request_ptr& it, upstream_queue& queue, duration excess);
+    /// Takes over what the upstream of @p queue asks in an answer.
+    void on_asked(upstream_queue& queue, const backpressure& asked);
     /// Sets the rate at which this entry may send to the upstream of @p queue.
     void apply_limit(upstream_queue& queue);
     void apply_limits();
@@ -196,6 +204,7 @@
     slot_usage slot_usage_;
     std::map<std::string, duration_estimate> link_times_; ///< there and back, by gate
     upstream_limits limits_;
+    std::set<directory::upstream_incarnation> leaving_; ///< to be reported until the directory shows it
     interrupted_requests interrupted_;
     known_poison_requests poison_requests_;
 };
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -62,11 +62,8 @@
 void dispatcher::on_answer(const request_ptr& it, upstream_queue* from, app::http_response answer) {
     const time_point now = steady_now();
     const answer_metadata metadata = protocol_.read_answer(it->request, answer);
-    if (from != nullptr && !metadata.wrong_upstream &&
-        limits_.add({from->target().incarnation, metadata.asked.max_rate, {}}, now)) {
-        spdlog::info("upstream limit id={} per_second={}", from->target().incarnation.id,
-                     metadata.asked.max_rate.value_or(0));
-        apply_limit(*from);
+    if (from != nullptr && !metadata.wrong_upstream) {
+        on_asked(*from, metadata.asked);
     }
     if (metadata.not_executed) {
         --it->possible_runs;
@@ -114,6 +111,19 @@
     finish(it, protocol_.write_answer(std::move(answer)), "answered");
 }
 
+void dispatcher::on_asked(upstream_queue& queue, const backpressure& asked) {
+    const time_point now = steady_now();
+    const auto& incarnation = queue.target().incarnation;
+    if (limits_.add({incarnation, asked.max_rate, {}}, now)) {
+        spdlog::info("upstream limit id={} per_second={}", incarnation.id, asked.max_rate.value_or(0));
+        apply_limit(queue);
+    }
+    if (asked.leaving && leaving_.insert(incarnation).second) {
+        spdlog::info("upstream leaving id={} started_ms={}", incarnation.id, incarnation.started_ms);
+        queue.set_leaving(now + settings_.leaving_send_time);
+    }
+}
+
 void dispatcher::on_failure(const request_ptr& it, exchange_end end) {
     const time_point now = steady_now();
     it->last_failed_upstream = it->upstream;
--- a/src/router/dispatcher_choice.cpp
+++ b/src/router/dispatcher_choice.cpp
@@ -61,7 +61,10 @@
             continue;
         }
         double cost = candidate->cost(now);
-        if (now < candidate->ejected_until() || id == it->last_failed_upstream) {
+        if (candidate->stopped(now)) {
+            continue;
+        }
+        if (now < candidate->ejected_until() || candidate->leaving() || id == it->last_failed_upstream) {
             cost += unavailable_penalty;
         }
         choice& best = candidate->target().data_center == settings_.data_center ? local : remote;
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -66,6 +66,12 @@
         const duration on_links = steady_now() - it->sent_at - result.handled;
         link_times_[it->gate].add(on_links);
         slot_usage_.on_forwarded(on_links);
+        // The gate reports it. This entry stops as well to send to the upstream itself, should the gate be
+        // lost.
+        const auto queue = queues_.find(it->upstream);
+        if (queue != queues_.end() && protocol_.read_answer(it->request, result.answer).asked.leaving) {
+            queue->second->set_leaving(steady_now() + settings_.leaving_send_time);
+        }
         finish(it, std::move(result.answer), "routed");
         return;
     }
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -69,6 +69,7 @@
                     [this](const std::vector<std::string>& ips) { links_->set_seeds(ips); }) {
     dispatcher_options options;
     options.data_center = settings_.data_center;
+    options.leaving_send_time = settings_.drain_period * 3 / 4;
     options.retries.ratio = settings_.retry_ratio;
     options.retries.slack = settings_.retry_slack;
     options.retries.window = settings_.retry_window;
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -27,8 +27,9 @@
 
     duration announce_interval = std::chrono::seconds(1); ///< between reports of an upstream
     duration max_hold = std::chrono::seconds(10);         ///< longest lease of a key range
-    duration grace_period = std::chrono::seconds(6);      ///< between the stop signal and the kill signal
-    double retry_ratio = 0.2;                             ///< retries per request of a service
+    duration drain_period = std::chrono::seconds(2); ///< for which a leaving upstream still takes requests
+    duration grace_period = std::chrono::seconds(6); ///< between the stop signal and the kill signal
+    double retry_ratio = 0.2;                        ///< retries per request of a service
     double retry_slack = 60; ///< retries beyond the ratio in a window, over all entries
     duration retry_window = std::chrono::seconds(10);
     bool operator==(const process_settings&) const = default;
--- a/src/router/upstream_queue.h
+++ b/src/router/upstream_queue.h
@@ -6,6 +6,7 @@
 #include <kingcupseam/directory.h>
 #include <kingcupseam/types.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -37,6 +38,10 @@
 
     /// Limits the requests that this entry sends, per second; nullopt ends the limit.
     void set_max_rate(std::optional<double> per_second);
+    /// The upstream is about to stop: it may be sent requests until @p last_send.
+    void set_leaving(time_point last_send) { last_send_ = std::min(last_send_, last_send); }
+    bool leaving() const noexcept { return last_send_ != time_point::max(); }
+    bool stopped(time_point now) const noexcept { return now >= last_send_; }
     bool rate_limited() const noexcept { return rate_limit_.has_value(); }
 
     bool can_send(time_point now) const;
@@ -97,6 +102,7 @@
     std::uint32_t consecutive_failures_ = 0;
     time_point ejected_until_;
     time_point shed_until_;
+    time_point last_send_ = time_point::max();
     time_point next_send_; ///< earliest next send while the window is below one
     duration service_time_ = std::chrono::milliseconds(100);
     std::optional<rate_limit> rate_limit_;
