Upstreams that ask for a pause get no requests until its end

Cause: an upstream that refuses a request with 503 may say for how long it wants nothing from that instance (Retry-After).

--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -160,6 +160,8 @@
     void refuse_for_lack_of_room(const request_ptr& it, upstream_queue& queue, duration excess);
     /// Takes over what the upstream of @p queue asks in an answer.
     void on_asked(upstream_queue& queue, const backpressure& asked);
+    /// Refuses the waiting requests that cannot be served after the pause of @p queue.
+    void refuse_beyond_pause(upstream_queue& queue);
     /// Sets the rate at which this entry may send to the upstream of @p queue.
     void apply_limit(upstream_queue& queue);
     void apply_limits();
--- a/src/router/upstream_queue.cpp
+++ b/src/router/upstream_queue.cpp
@@ -49,7 +49,7 @@
 }
 
 time_point upstream_queue::can_send_at(time_point now) const {
-    time_point result = std::max(now, ejected_until_);
+    time_point result = std::max({now, ejected_until_, paused_until_});
     if (rate_limit_) {
         result = std::max(result, rate_limit_->next_send(now));
     }
@@ -146,6 +146,15 @@
     return take(first_in_time == waiting_.end() ? waiting_.begin() : first_in_time);
 }
 
+std::vector<std::uint64_t> upstream_queue::waiting_requests() const {
+    std::vector<std::uint64_t> result;
+    result.reserve(waiting_.size());
+    for (const auto& [at, end] : waiting_) {
+        result.push_back(at.second);
+    }
+    return result;
+}
+
 std::optional<std::uint64_t> upstream_queue::pop_any() {
     return take(waiting_.begin());
 }
@@ -183,13 +192,17 @@
 duration upstream_queue::expected_time_if_sent(time_point now) const {
     const double slots = std::max(target_.slots, 1);
     const double ahead = std::max(outstanding_requests(now) + 1 - slots, 0.0);
-    return rate_wait(now) + std::chrono::duration_cast<duration>(service_time_ * (1 + ahead / slots));
+    return wait_for_permission(now) +
+           std::chrono::duration_cast<duration>(service_time_ * (1 + ahead / slots));
 }
 
-duration upstream_queue::rate_wait(time_point now) const {
-    return rate_limit_ ? rate_limit_->next_send(now) - now +
-                             rate_limit_->interval() * static_cast<std::int64_t>(waiting_.size())
-                       : duration::zero();
+duration upstream_queue::wait_for_permission(time_point now) const {
+    duration result = std::max(paused_until_ - now, duration::zero());
+    if (rate_limit_) {
+        result = std::max(result, rate_limit_->next_send(now) - now) +
+                 rate_limit_->interval() * static_cast<std::int64_t>(waiting_.size());
+    }
+    return result;
 }
 
 duration upstream_queue::reserve_return(std::int32_t priority, duration excess, time_point now) {
@@ -209,7 +222,7 @@
 double upstream_queue::cost(time_point now) const {
     return (outstanding_requests(now) + 1) / std::max(target_.slots, 1) *
                static_cast<double>(service_time_.count()) +
-           static_cast<double>(rate_wait(now).count());
+           static_cast<double>(wait_for_permission(now).count());
 }
 
 } // namespace kingcupseam::router
--- a/src/router/upstream_queue.h
+++ b/src/router/upstream_queue.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace kingcupseam::router {
 
@@ -41,6 +42,9 @@
     /// The upstream is about to stop: it may be sent requests until @p last_send.
     void set_leaving(time_point last_send) { last_send_ = std::min(last_send_, last_send); }
     bool leaving() const noexcept { return last_send_ != time_point::max(); }
+    /// The upstream wants no requests from this entry until @p end.
+    void pause_until(time_point end) { paused_until_ = std::max(paused_until_, end); }
+    time_point paused_until() const noexcept { return paused_until_; }
     bool stopped(time_point now) const noexcept { return now >= last_send_; }
     bool rate_limited() const noexcept { return rate_limit_.has_value(); }
 
@@ -72,6 +76,7 @@
     /// Takes any request.
     std::optional<std::uint64_t> pop_any();
     std::size_t waiting() const noexcept { return waiting_.size(); }
+    std::vector<std::uint64_t> waiting_requests() const;
     /// Estimated time until a request that is queued now is answered.
     duration expected_time_if_queued(std::int32_t priority, time_point now) const;
     /// When a request that is refused now finds room if it returns, from now on. Each call reserves a later
@@ -90,8 +95,8 @@
     /// Requests that run or wait at the upstream or are queued here.
     double outstanding_requests(time_point now) const;
     std::optional<std::uint64_t> take(std::map<position, time_point>::iterator it);
-    /// Time until the rate limit allows one more request after those that wait.
-    duration rate_wait(time_point now) const;
+    /// Time until a pause has ended and the rate limit allows one more request after those that wait.
+    duration wait_for_permission(time_point now) const;
     void update_service_time(duration service_time);
     void adapt_window(const std::optional<reported_load>& load);
 
@@ -103,6 +108,7 @@
     time_point ejected_until_;
     time_point shed_until_;
     time_point last_send_ = time_point::max();
+    time_point paused_until_;
     time_point next_send_; ///< earliest next send while the window is below one
     duration service_time_ = std::chrono::milliseconds(100);
     std::optional<rate_limit> rate_limit_;
