A report with an odd address ends no process

Cause: the address of an upstream's report was checked for a port only. A host name or half an IP address in it was acknowledged, stored and sent to all entries, and each of them ended at its first connection there with an unhandled exception, also after its restart.

--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -65,13 +65,22 @@
 }
 
 void upstream_connection::connect() {
-    const asio::ip::tcp::endpoint remote(asio::ip::make_address(target_.ip), target_.port);
+    asio::error_code ec;
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address(target_.ip, ec), target_.port);
+    if (ec) {
+        asio::post(socket_.get_executor(), [it = shared_from_this()] {
+            if (!it->closed_) {
+                it->finish(exchange_end::not_sent);
+            }
+        });
+        return;
+    }
     const time_point begun = steady_now();
-    socket_.async_connect(remote, [it = shared_from_this(), begun](const asio::error_code& ec) {
+    socket_.async_connect(remote, [it = shared_from_this(), begun](const asio::error_code& failed) {
         if (it->closed_) {
             return;
         }
-        if (ec) {
+        if (failed) {
             it->finish(exchange_end::not_sent);
             return;
         }
@@ -81,8 +90,8 @@
         transport::limit_unacknowledged(it->socket_, unacknowledged_limit);
         const std::uint64_t id = it->exchange_id_;
         it->timer_.expires_after(std::max(it->request_.timeout - (steady_now() - begun), duration::zero()));
-        it->timer_.async_wait([it, id](const asio::error_code& failed) {
-            if (!failed && it->exchange_id_ == id) {
+        it->timer_.async_wait([it, id](const asio::error_code& cancelled) {
+            if (!cancelled && it->exchange_id_ == id) {
                 it->on_timer();
             }
         });
--- a/tests/platform/entry_processes.h
+++ b/tests/platform/entry_processes.h
@@ -54,6 +54,12 @@
                                  std::to_string(++announcements_) + R"(,"warmup_left":"0ms"}})";
         REQUIRE(put("/instances/" + id, body));
     }
+    /// @returns the status of the answer to a report with this body
+    int report_status(const std::string& id, const std::string& body) {
+        http_caller caller;
+        return caller.send("PUT", control_, "/instances/" + id, body).status;
+    }
+    child_process& control() { return *control_process_; }
     child_process& entry(std::size_t n = 0) { return *processes_.at(n); }
 
     /// A request of its own id to an entry; its result once the request has ended.
