A stopping entry leaves no request without an answer

Cause: an entry took requests for 3 s after its stop signal, whatever the grace period, and ended half a second before the period does: with 2 s it took requests until it ended and cut them off. With any period it cut off what waited or was at an upstream at its end. Change: new requests are taken in the first half of the grace period. From the stop signal on, every request has its deadline before the exit, so that each gets an answer; nothing is sent that would probably be cut off.

--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -89,8 +89,7 @@
         ++report_.keys[it->service][*it->request.key];
     }
     const duration timeout = route->timeout > duration::zero() ? route->timeout : default_time_limit;
-    it->deadline = it->arrived + std::min(timeout, it->request.time_limit.value_or(default_time_limit));
-    start_deadline_timer(it, it->deadline - it->arrived);
+    set_deadline(it, it->arrived + std::min(timeout, it->request.time_limit.value_or(default_time_limit)));
     dispatch(it);
 }
 
@@ -110,6 +109,21 @@
     return false;
 }
 
+void dispatcher::set_deadline(const request_ptr& it, time_point deadline) {
+    it->deadline = std::min(deadline, last_deadline_);
+    start_deadline_timer(it, it->deadline - steady_now());
+}
+
+void dispatcher::start_draining(time_point end) {
+    draining_ = true;
+    last_deadline_ = end;
+    for (const auto& [id, it] : requests_) {
+        if (it->deadline > end) {
+            set_deadline(it, end);
+        }
+    }
+}
+
 void dispatcher::start_deadline_timer(const request_ptr& it, duration limit) {
     it->deadline_timer.expires_after(limit);
     it->deadline_timer.async_wait([this, it](const asio::error_code& ec) {
@@ -227,7 +241,8 @@
 void dispatcher::send(const request_ptr& it, upstream_queue& queue) {
     const time_point now = steady_now();
     const duration left = it->deadline - now;
-    if (left < settings_.min_attempt_time) {
+    if (left < (draining_ ? std::max(settings_.min_attempt_time, min_useful_time(queue))
+                          : settings_.min_attempt_time)) {
         refuse_or_fail(it, status_gateway_timeout, "deadline");
         return;
     }
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -97,8 +97,9 @@
     /// The leader's current list of limits that upstreams have stated.
     void set_limits(const std::vector<limit_statement>& listed);
     void set_entry_count(int entries);
-    /// Makes every further answer close its connection.
-    void start_draining() { draining_ = true; }
+    /// Makes every further answer close its connection, and every request end before @p end, so that none is
+    /// cut off without an answer.
+    void start_draining(time_point end);
     /// Refuses new requests, so that none is interrupted when the process exits.
     void refuse_new_requests() { refusing_new_requests_ = true; }
     std::size_t requests_in_flight() const noexcept { return requests_.size(); }
@@ -114,6 +115,8 @@
     /// Fails a request whose headers or body exceed the configured limits.
     /// @returns true when the request has been answered
     bool reject_if_too_large(const request_ptr& it);
+    /// Sets the deadline, not later than the end of draining, and calls on_timeout() then.
+    void set_deadline(const request_ptr& it, time_point deadline);
     /// Calls on_timeout() after @p limit.
     void start_deadline_timer(const request_ptr& it, duration limit);
     /// Selects an upstream and forwards, sends or queues the request, or waits for the key's owner.
@@ -193,6 +196,7 @@
     std::shared_ptr<const directory::route_index> routes_;
     int entry_count_ = 1;
     bool draining_ = false;
+    time_point last_deadline_ = time_point::max(); ///< while draining
     bool refusing_new_requests_ = false;
     std::uint64_t next_request_id_ = 1;
     std::unordered_map<std::uint64_t, request_ptr> requests_;
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -107,9 +107,8 @@
     it->route.attempts = received.attempts;
     it->route.target_latency = received.target_time_left;
     it->route.timeout = received.time_left;
-    it->deadline = now + received.time_left;
     requests_.emplace(it->id, it);
-    start_deadline_timer(it, received.time_left);
+    set_deadline(it, now + received.time_left);
     if (is_refused_poison_request(it)) {
         refuse(it, "crashes-upstreams");
         return true;
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -23,11 +23,12 @@
 // The load balancer detects an unready entry by two checks that are a second apart.
 constexpr duration min_unready_time = std::chrono::milliseconds(2600);
 constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
-// Time after the stop signal from which new requests are refused: they might not end before the process
-// exits.
-constexpr duration refuse_after = std::chrono::milliseconds(3000);
-// Time between the last answer and the kill signal.
+// Part of the grace period after which new requests are refused: they might not end before the process exits.
+constexpr int grace_part_for_new_requests = 2; // half
+// Time between the exit of the process and the kill signal.
 constexpr duration stop_reserve = std::chrono::milliseconds(500);
+// Time between the deadline of the last requests and the exit, for their answers.
+constexpr duration last_answer_time = std::chrono::milliseconds(100);
 // Limit of pipelined requests that are read from one connection.
 constexpr std::size_t max_pipelined = 16;
 
@@ -164,14 +165,15 @@
     links_->leave();
     asio::post(traffic_.io, [this] {
         stopping_since_ = steady_now();
-        dispatcher_->start_draining();
+        dispatcher_->start_draining(stopping_since_ + settings_.grace_period - stop_reserve -
+                                    last_answer_time);
         poll_stop();
     });
 }
 
 void entry_process::poll_stop() {
     const duration elapsed = steady_now() - stopping_since_;
-    if (elapsed > refuse_after) {
+    if (elapsed > settings_.grace_period / grace_part_for_new_requests) {
         dispatcher_->refuse_new_requests();
     }
     if ((elapsed > min_unready_time && dispatcher_->requests_in_flight() == 0) ||
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -42,7 +42,7 @@
     // signal was interrupted.
     SUBCASE("a stopping entry closes connections and then refuses requests") {
         it.configure();
-        it.under_test.start_draining();
+        it.under_test.start_draining(steady_now() + std::chrono::seconds(5));
         CHECK(it.send("/safe/1").close);
         it.under_test.refuse_new_requests();
         const auto answer = it.send("/safe/1");
--- a/tests/platform/entry_processes.h
+++ b/tests/platform/entry_processes.h
@@ -24,8 +24,9 @@
 class entry_processes {
 public:
     /// @param key_ranges whether each key of the service has one owner
+    /// @param entry_settings further lines of the entries' settings
     explicit entry_processes(raw_server::connect_handler on_connect, std::size_t entries = 1,
-                             bool key_ranges = false)
+                             bool key_ranges = false, const std::string& entry_settings = {})
         : upstream(context, std::move(on_connect)) {
         // Links between instances use one port at different addresses.
         peer_port_ = free_port();
@@ -38,9 +39,9 @@
             const std::string callers = ip + ":" + std::to_string(free_port());
             readiness_.push_back(ip + ":" + std::to_string(free_port()));
             callers_.push_back(callers);
-            processes_.push_back(
-                start("entry", "entry" + std::to_string(n), ip,
-                      "callers = \"" + callers + "\"\nreadiness = \"" + readiness_.back() + "\"\n"));
+            processes_.push_back(start("entry", "entry" + std::to_string(n), ip,
+                                       "callers = \"" + callers + "\"\nreadiness = \"" + readiness_.back() +
+                                           "\"\n" + entry_settings));
         }
         register_all(key_ranges);
     }
