Limits: senders that share one keep to it together

Cause: found while reading our own change. A least rate of 0.2 requests/s held for each sender, so 85 entries without a gate could send 17 requests/s to an upstream that accepts 5, and each sent one more at once when it learned of the limit. Change: the least rate holds for the limit, not for a share of it, and senders start at different moments of their interval. An entry knows the new gates before it divides the limits.

--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -337,15 +337,7 @@
             queues_.emplace(id, std::make_unique<upstream_queue>(it, use_of(it.service)));
         }
     }
-    if (gates_ != nullptr) {
-        std::vector<const directory::upstream*> gated;
-        for (const auto& [id, it] : directory_->upstreams) {
-            if (it.accepts_work() && has_key_ranges(it.service)) {
-                gated.push_back(&it);
-            }
-        }
-        gates_->set_upstreams(gated);
-    }
+    update_gates();
     apply_limits();
     const auto waiting = std::exchange(waiting_for_owner_, {});
     for (const auto& it : waiting) {
@@ -378,21 +370,6 @@
     }
 }
 
-void dispatcher::log_slot_usage() {
-    int slots = 0;
-    std::size_t waiting = 0;
-    for (const auto& [id, it] : queues_) {
-        if (gates_ != nullptr && has_key_ranges(it->target().service) &&
-            gates_->gate_of(it->target()).empty()) {
-            slots += it->target().slots;
-        }
-        waiting += it->waiting();
-    }
-    if (const auto text = slot_usage_.take(slots, waiting, steady_now())) {
-        spdlog::info("slot usage {}", *text);
-    }
-}
-
 traffic_report dispatcher::take_report() {
     report_.limits = limits_.take_new(steady_now());
     std::erase_if(leaving_, [&](const auto& it) {
@@ -403,32 +380,4 @@
     return std::exchange(report_, {});
 }
 
-void dispatcher::set_limits(const std::vector<limit_statement>& listed) {
-    limits_.set_listed(listed);
-    apply_limits();
-}
-
-void dispatcher::set_entry_count(int entries) {
-    entry_count_ = std::max(entries, 1);
-    apply_limits();
-}
-
-void dispatcher::apply_limits() {
-    for (const auto& [id, it] : queues_) {
-        apply_limit(*it);
-    }
-}
-
-void dispatcher::apply_limit(upstream_queue& queue) {
-    auto max_rate = limits_.limit_of(queue.target().incarnation, steady_now());
-    if (!max_rate) {
-        queue.set_max_rate(std::nullopt);
-        return;
-    }
-    // A gate sends for all entries. Others, and all entries where there are no gates, have equal shares.
-    const bool sends_for_all =
-        gates_ != nullptr && has_key_ranges(queue.target().service) && gates_->is_gate(queue.target());
-    queue.set_max_rate(sends_for_all ? *max_rate : *max_rate / entry_count_);
-}
-
 } // namespace kingcupseam::router
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -121,6 +122,8 @@
     void start_deadline_timer(const request_ptr& it, duration limit);
     /// Selects an upstream and forwards, sends or queues the request, or waits for the key's owner.
     void dispatch(const request_ptr& it);
+    /// Tells the gate network which upstreams have gates.
+    void update_gates();
     /// @returns false when this entry sends the request to the upstream itself
     bool forward_to_gate(const request_ptr& it, const upstream_queue& queue);
     void on_routed(const request_ptr& it, routed_result result);
@@ -210,6 +213,8 @@
     slot_usage slot_usage_;
     std::map<std::string, duration_estimate> link_times_; ///< there and back, by gate
     upstream_limits limits_;
+    std::minstd_rand random_{std::random_device{}()};
+    std::uniform_real_distribution<> phases_;           ///< of rate limits
     std::set<directory::upstream_incarnation> leaving_; ///< to be reported until the directory shows it
     interrupted_requests interrupted_;
     known_poison_requests poison_requests_;
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -111,36 +111,6 @@
     finish(it, protocol_.write_answer(std::move(answer)), "answered");
 }
 
-void dispatcher::on_asked(upstream_queue& queue, const backpressure& asked) {
-    const time_point now = steady_now();
-    const auto& incarnation = queue.target().incarnation;
-    if (limits_.add({incarnation, asked.max_rate, {}}, now)) {
-        spdlog::info("upstream limit id={} per_second={}", incarnation.id, asked.max_rate.value_or(0));
-        apply_limit(queue);
-    }
-    if (asked.pause > duration::zero()) {
-        spdlog::info("upstream pause id={} ms={}", incarnation.id,
-                     asked.pause.count() / microseconds_per_millisecond);
-        queue.pause_until(now + asked.pause);
-        refuse_beyond_pause(queue);
-    }
-    if (asked.leaving && leaving_.insert(incarnation).second) {
-        spdlog::info("upstream leaving id={} started_ms={}", incarnation.id, incarnation.started_ms);
-        queue.set_leaving(now + settings_.leaving_send_time);
-    }
-}
-
-void dispatcher::refuse_beyond_pause(upstream_queue& queue) {
-    const duration useful_time = min_useful_time(queue);
-    for (const auto id : queue.waiting_requests()) {
-        const auto found = requests_.find(id);
-        if (found != requests_.end() && queue.paused_until() + useful_time > found->second->deadline) {
-            const request_ptr it = found->second;
-            refuse_for_lack_of_room(it, queue, queue.paused_until() - steady_now());
-        }
-    }
-}
-
 void dispatcher::on_failure(const request_ptr& it, exchange_end end) {
     const time_point now = steady_now();
     it->last_failed_upstream = it->upstream;
@@ -253,16 +223,6 @@
     }
 }
 
-void dispatcher::refuse_for_lack_of_room(const request_ptr& it, upstream_queue& queue, duration excess) {
-    if (it->in_doubt) {
-        fail(it, status_bad_gateway, "crowded");
-    } else if (queue.rate_limited() || steady_now() < queue.paused_until()) {
-        refuse(it, "limited", queue.reserve_return(it->route.priority, excess, steady_now()));
-    } else {
-        refuse(it, "crowded");
-    }
-}
-
 void dispatcher::refuse(const request_ptr& it, const char* reason, duration retry_after) {
     slot_usage_.on_refused();
     app::http_response answer{status_unavailable, {}, {}, false};
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -127,4 +127,32 @@
     }
 }
 
+void dispatcher::update_gates() {
+    if (gates_ == nullptr) {
+        return;
+    }
+    std::vector<const directory::upstream*> gated;
+    for (const auto& [id, it] : directory_->upstreams) {
+        if (it.accepts_work() && has_key_ranges(it.service)) {
+            gated.push_back(&it);
+        }
+    }
+    gates_->set_upstreams(gated);
+}
+
+void dispatcher::log_slot_usage() {
+    int slots = 0;
+    std::size_t waiting = 0;
+    for (const auto& [id, it] : queues_) {
+        if (gates_ != nullptr && has_key_ranges(it->target().service) &&
+            gates_->gate_of(it->target()).empty()) {
+            slots += it->target().slots;
+        }
+        waiting += it->waiting();
+    }
+    if (const auto text = slot_usage_.take(slots, waiting, steady_now())) {
+        spdlog::info("slot usage {}", *text);
+    }
+}
+
 } // namespace kingcupseam::router
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -88,8 +88,9 @@
     };
     callbacks.on_entries = [this](std::vector<entry_instance> entries) {
         asio::post(traffic_.io, [this, entries = std::move(entries)]() mutable {
-            dispatcher_->set_entry_count(static_cast<int>(entries.size()));
+            const int n = static_cast<int>(entries.size());
             gates_->set_entries(std::move(entries));
+            dispatcher_->set_entry_count(n);
         });
     };
     callbacks.on_poison_requests = [this](std::vector<poison_request> listed) {
--- a/src/router/rate_limit.h
+++ b/src/router/rate_limit.h
@@ -10,8 +10,12 @@
 /// during the burst time.
 class rate_limit {
 public:
-    /// @param per_second rates below min_rate count as min_rate, so that the end of the limit is noticed
-    explicit rate_limit(double per_second) { set_rate(per_second); }
+    /// @param phase 0 to 1: part of an interval before the first request. Senders that share a limit and
+    /// learn it at the same time have different ones.
+    rate_limit(double per_second, double phase, time_point now) {
+        set_rate(per_second);
+        full_at_ = now + burst_time + std::chrono::duration_cast<duration>(interval_ * phase);
+    }
 
     /// The next request is paced by the new rate.
     void set_rate(double per_second) {
@@ -24,7 +28,7 @@
     void on_sent(time_point now) { full_at_ = std::max(full_at_, now) + interval_; }
 
 private:
-    static constexpr double min_rate = 0.2; ///< requests per second
+    static constexpr double min_rate = 1e-4; ///< requests per second
     static constexpr duration burst_time = std::chrono::milliseconds(250);
 
     duration interval_{};
--- a/src/router/upstream_queue.cpp
+++ b/src/router/upstream_queue.cpp
@@ -30,14 +30,14 @@
 upstream_queue::upstream_queue(directory::upstream target, upstream_use use)
     : target_(std::move(target)), use_(use), window_(std::max(target_.slots, 1)) {}
 
-void upstream_queue::set_max_rate(std::optional<double> per_second) {
+void upstream_queue::set_max_rate(std::optional<double> per_second, double phase, time_point now) {
     if (!per_second) {
         rate_limit_.reset();
         returns_.clear();
     } else if (rate_limit_) {
         rate_limit_->set_rate(*per_second);
     } else {
-        rate_limit_.emplace(*per_second);
+        rate_limit_.emplace(*per_second, phase, now);
     }
 }
 
--- a/src/router/upstream_queue.h
+++ b/src/router/upstream_queue.h
@@ -38,7 +38,8 @@
     }
 
     /// Limits the requests that this entry sends, per second; nullopt ends the limit.
-    void set_max_rate(std::optional<double> per_second);
+    /// @param phase as in rate_limit
+    void set_max_rate(std::optional<double> per_second, double phase, time_point now);
     /// The upstream is about to stop: it may be sent requests until @p last_send.
     void set_leaving(time_point last_send) { last_send_ = std::min(last_send_, last_send); }
     bool leaving() const noexcept { return last_send_ != time_point::max(); }
