--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -23,8 +23,9 @@
     std::string_view text;
 };
 
-constexpr std::array<reason_text, 20> reasons{{
+constexpr std::array<reason_text, 21> reasons{{
     {"crowded", "it would have been answered after its target latency"},
+    {"limited", "its upstream limits its requests or asked for a pause"},
     {"overtaken", "it waited behind more urgent work until too little time was left"},
     {"deadline", "not enough time was left for an attempt"},
     {"no-owner", "its key had no owner"},
--- a/tests/platform/process_settings_test.cpp
+++ b/tests/platform/process_settings_test.cpp
@@ -27,6 +27,7 @@
 tolerated_losses = 1
 announce_interval = "870ms"
 max_hold = "10000ms"
+drain_period = "3s"
 grace_period = "6s"
 retry_ratio = 0.2
 retry_slack = 60
--- a/tests/router/gate_assignment_test.cpp
+++ b/tests/router/gate_assignment_test.cpp
@@ -61,9 +61,9 @@
         before[it.incarnation.id] = gates.front();
         ++loads[gates.front()];
     }
-    for (const auto& [name, n] : loads) {
-        CAPTURE(name);
-        CHECK(n <= 4); // 79 upstreams, 22 entries
+    for (const auto& it : loads) {
+        CAPTURE(it.first);
+        CHECK(it.second <= 4); // 79 upstreams, 22 entries
     }
     const auto count_moved = [&](const std::vector<directory::upstream>& kept) {
         return std::count_if(kept.begin(), kept.end(), [&](const auto& it) {
