--- a/tests/router/gate_assignment_test.cpp
+++ b/tests/router/gate_assignment_test.cpp
@@ -13,6 +13,7 @@
 
 std::vector<entry_instance> make_entries(const std::string& data_center, int n) {
     std::vector<entry_instance> result;
+    result.reserve(n);
     for (int i = 0; i < n; ++i) {
         result.push_back({data_center + std::to_string(i) + ":7000", data_center});
     }
@@ -21,6 +22,7 @@
 
 std::vector<directory::upstream> make_upstreams(const std::string& data_center, int n) {
     std::vector<directory::upstream> result;
+    result.reserve(n);
     for (int i = 0; i < n; ++i) {
         const std::string id = data_center + "-u" + std::to_string(i);
         result.push_back({{id, 1}, "s", data_center, {"127.0.0.1", 1}, 2, false, false});
