--- a/tests/platform/upstream_limit_test.cpp
+++ b/tests/platform/upstream_limit_test.cpp
@@ -126,8 +126,7 @@
     }
 }
 
-// Guards against refused callers that return when there is still no room, and against urgent ones behind
-// others.
+// Guards against refused callers that all return at once, when there is still no room.
 TEST_CASE("callers that a limit has no room for are told different times to return") {
     harness it([&](const http_request& request) { return limited_answer(request, "5"); });
     fake_gates gates;
--- a/tests/router/upstream_queue_test.cpp
+++ b/tests/router/upstream_queue_test.cpp
@@ -128,6 +128,15 @@
         }
         CHECK_FALSE(target.can_send(now));
     }
+    // Guards against urgent callers who are told to return after others.
+    SUBCASE("and under a limit tells refused callers to return one after the other, urgent ones first") {
+        target.set_max_rate(10, 0, now);
+        const duration excess = milliseconds(300);
+        CHECK(target.reserve_return(1, excess, now) == excess);
+        CHECK(target.reserve_return(1, excess, now) == excess + milliseconds(100));
+        CHECK(target.reserve_return(2, excess, now) == excess + milliseconds(200));
+        CHECK(target.reserve_return(0, excess, now) == excess);
+    }
     SUBCASE("also after answers that report a full queue") {
         for (int i = 0; i < 50; ++i) {
             target.on_answered(service_time, reported_load{2, 8, 2}, now);
