Answers of gates name the upstream that gave them

Callers of an entry were refused (503, no-owner) for a healthy upstream: an entry that heard through a gate that an upstream leaves marked the upstream that it had asked for. If the gate had passed the request on, because the key had just moved, that was another one.

RoutedReply carries the incarnation that answered; the entry marks that one, if it still knows it.

'an upstream gets requests although another one says through its gate that it leaves': 503 == 200 in both subcases with the former code, passes now.

--- a/idl/routing.thrift
+++ b/idl/routing.thrift
@@ -36,6 +36,9 @@
   4: binary body
   // Time from the arrival of the request at the gate to this reply.
   5: i64 handled_us
+  // Incarnation of the upstream that gave the answer; an empty id for an answer of the gate itself.
+  6: string upstream_id
+  7: i64 upstream_started_ms
 }
 
 // Cancels the request that was sent with this correlation number on the same link.
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -86,7 +86,7 @@
     /// @param number identifies the request on that connection, for withdraw_routed()
     /// @returns false when the request is not accepted; @p reply is not called then
     bool handle_routed(routed_request received, std::uint64_t connection, std::uint64_t number,
-                       app::http_reply reply);
+                       routed_reply reply);
     void withdraw_routed(std::uint64_t connection, std::uint64_t number);
     /// Withdraws all requests of a closed connection.
     void on_connection_closed(std::uint64_t connection);
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -108,6 +108,9 @@
             return;
         }
     }
+    if (from != nullptr) {
+        it->answered_by = from->target().incarnation;
+    }
     finish(it, protocol_.write_answer(std::move(answer)), "answered");
 }
 
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -66,10 +66,12 @@
         const duration on_links = steady_now() - it->sent_at - result.handled;
         link_times_[it->gate].add(on_links);
         slot_usage_.on_forwarded(on_links);
+        it->answered_by = result.answered_by;
         // The gate reports it. This entry stops as well to send to the upstream itself, should the gate be
-        // lost.
-        const auto queue = queues_.find(it->upstream);
-        if (queue != queues_.end() && protocol_.read_answer(it->request, result.answer).asked.leaving) {
+        // lost. The gate may have passed the request on to another upstream than the one of this entry.
+        const auto queue = queues_.find(result.answered_by.id);
+        if (queue != queues_.end() && queue->second->target().incarnation == result.answered_by &&
+            protocol_.read_answer(it->request, result.answer).asked.leaving) {
             queue->second->set_leaving(steady_now() + settings_.leaving_send_time);
         }
         finish(it, std::move(result.answer), "routed");
@@ -90,13 +92,16 @@
 }
 
 bool dispatcher::handle_routed(routed_request received, std::uint64_t connection, std::uint64_t number,
-                               app::http_reply reply) {
+                               routed_reply reply) {
     if (refusing_new_requests_ || !directory_->config) {
         return false;
     }
     const time_point now = steady_now();
     const auto it = std::make_shared<in_flight_request>(context_, next_request_id_++,
-                                                        std::move(received.request), std::move(reply), now);
+                                                        std::move(received.request), app::http_reply(), now);
+    it->reply = [reply = std::move(reply), request = it.get()](app::http_response answer) {
+        reply(std::move(answer), request->answered_by);
+    };
     it->request.connection = connection;
     it->peer_request_number = number;
     it->hops = received.hops;
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -107,7 +107,7 @@
 void entry_process::make_gates() {
     gate_links::receiver callbacks;
     callbacks.on_request = [this](routed_request request, std::uint64_t connection, std::uint64_t number,
-                                  app::http_reply reply) {
+                                  routed_reply reply) {
         return dispatcher_->handle_routed(std::move(request), connection, number, std::move(reply));
     };
     callbacks.on_withdrawn = [this](std::uint64_t connection, std::uint64_t number) {
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -149,9 +149,11 @@
 
 void gate_links::on_routed_request(const connection_ptr& from, const transport::frame& received) {
     const std::uint64_t number = received.correlation;
-    const auto reply = [from, number, arrived = steady_now()](app::http_response answer) {
+    const auto reply = [from, number, arrived = steady_now()](
+                           app::http_response answer, const directory::upstream_incarnation& answered_by) {
         from->send({frame_type::routed_reply, number,
-                    encode(routed_result{routed_end::answered, std::move(answer), steady_now() - arrived})});
+                    encode(routed_result{routed_end::answered, std::move(answer), steady_now() - arrived,
+                                         answered_by})});
     };
     if (!callbacks_.on_request(decode_routed_request(received.payload), connection_number(from), number,
                                reply)) {
--- a/src/router/gate_links.h
+++ b/src/router/gate_links.h
@@ -21,7 +21,7 @@
     struct receiver {
         /// @returns false when this entry does not accept the request
         std::function<bool(routed_request request, std::uint64_t connection, std::uint64_t number,
-                           app::http_reply reply)>
+                           routed_reply reply)>
             on_request;
         std::function<void(std::uint64_t connection, std::uint64_t number)> on_withdrawn;
         std::function<void(std::uint64_t connection)> on_disconnect;
--- a/src/router/gate_network.h
+++ b/src/router/gate_network.h
@@ -36,8 +36,13 @@
     routed_end end = routed_end::not_accepted;
     app::http_response answer; ///< when answered
     duration handled{};        ///< time at the gate, without the way there and back; when answered
+    directory::upstream_incarnation answered_by{}; ///< empty id for an answer of the gate itself
 };
 
+/// Answers a forwarded request. @p answered_by as in routed_result
+using routed_reply =
+    std::function<void(app::http_response answer, const directory::upstream_incarnation& answered_by)>;
+
 /// Forwards requests to other entries. The gate of an upstream is the entry of its data centre that sends all
 /// requests to it, so that a single queue knows its free slots. Any entry may still send to any upstream: a
 /// gate reduces waiting and traffic, and correctness does not depend on it.
--- a/src/router/routing_codec.cpp
+++ b/src/router/routing_codec.cpp
@@ -84,6 +84,8 @@
     out.headers = to_wire(source.answer.headers);
     out.body = source.answer.body;
     out.handled_us = source.handled.count();
+    out.upstream_id = source.answered_by.id;
+    out.upstream_started_ms = source.answered_by.started_ms;
     return transport::encode(out);
 }
 
@@ -93,6 +95,7 @@
     result.end = in.taken ? routed_end::answered : routed_end::not_accepted;
     result.answer = {in.status, from_wire(std::move(in.headers)), std::move(in.body), false};
     result.handled = duration(in.handled_us);
+    result.answered_by = {std::move(in.upstream_id), in.upstream_started_ms};
     return result;
 }
 
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -264,9 +264,13 @@
     request.time_left = milliseconds(800);
     request.target_time_left = milliseconds(300);
     constexpr std::uint64_t link = 1000;
+    directory::upstream_incarnation answered_by;
     const auto handle_routed_request = [&] {
-        return it.under_test.handle_routed(request, link, 3,
-                                           [&](http_response answer) { it.answer = std::move(answer); });
+        return it.under_test.handle_routed(
+            request, link, 3, [&](http_response answer, const directory::upstream_incarnation& by) {
+                it.answer = std::move(answer);
+                answered_by = by;
+            });
     };
 
     SUBCASE("is not accepted before a configuration is known") {
@@ -290,6 +294,7 @@
         CHECK(handle_routed_request());
         it.run_until([&] { return it.answer.has_value(); });
         CHECK(it.answer->status == 200);
+        CHECK(answered_by == directory::upstream_incarnation{"u", 1});
         CHECK(gates.forwarded.empty());
     }
     SUBCASE("is withdrawn at the upstream") {
--- a/tests/platform/leaving_upstream_test.cpp
+++ b/tests/platform/leaving_upstream_test.cpp
@@ -52,7 +52,7 @@
     const time_point told = steady_now();
     it.start("/safe/1");
     if (!gates.forwarded.empty()) {
-        gates.callbacks.front()({router::routed_end::answered, leaving_answer({}), {}});
+        gates.callbacks.front()({router::routed_end::answered, leaving_answer({}), {}, {"u", 1}});
         gates.linked = false;
     }
     it.run_until([&] { return it.answer.has_value(); });
@@ -78,6 +78,30 @@
     }
 }
 
+// Guards against an entry that stops sending to a healthy upstream, and refuses its callers, because its gate
+// passed a request on to the key's new owner, which leaves.
+TEST_CASE("an upstream gets requests although another one says through its gate that it leaves") {
+    harness it([](const http_request& request) { return signed_answer(request); });
+    fake_gates gates;
+    it.under_test.set_gates(&gates);
+    it.configure(true);
+    it.start("/safe/1");
+    REQUIRE(gates.callbacks.size() == 1);
+    SUBCASE("the new owner") {
+        gates.callbacks.front()({router::routed_end::answered, leaving_answer({}), {}, {"new owner", 1}});
+    }
+    SUBCASE("an earlier incarnation") {
+        gates.callbacks.front()({router::routed_end::answered, leaving_answer({}), {}, {"u", 0}});
+    }
+    gates.linked = false;
+    const time_point told = steady_now();
+    while (steady_now() - told < drain_period) {
+        it.context.run_for(milliseconds(50));
+        it.context.restart();
+        CHECK(it.send("/safe/1").status == 200);
+    }
+}
+
 // Guards against entries that go on sending because only another one has heard it.
 TEST_CASE("an upstream that tells one entry that it leaves gets no requests from others either") {
     time_point last_at_leaving;
--- a/tests/router/gate_links_test.cpp
+++ b/tests/router/gate_links_test.cpp
@@ -25,7 +25,7 @@
         routed_request request;
         std::uint64_t connection = 0;
         std::uint64_t number = 0;
-        app::http_reply reply;
+        routed_reply reply;
     };
     endpoint_address address;
     bool accepts = true;
@@ -37,7 +37,7 @@
 private:
     gate_links::receiver callbacks() {
         return {[this](routed_request request, std::uint64_t connection, std::uint64_t number,
-                       app::http_reply reply) {
+                       routed_reply reply) {
                     requests.push_back({std::move(request), connection, number, std::move(reply)});
                     return accepts;
                 },
@@ -125,18 +125,19 @@
             CHECK(got.request.target_time_left == sent.target_time_left);
         }
         SUBCASE("the entry receives all fields of the answer") {
-            got.reply({201, {{"X-Signature", "sig"}}, std::string("x\0y", 3), false});
+            got.reply({201, {{"X-Signature", "sig"}}, std::string("x\0y", 3), false}, {"u", 8});
             REQUIRE(run_until([&] { return result.has_value(); }));
             CHECK(result->end == routed_end::answered);
             CHECK(result->answer.status == 201);
             CHECK(result->answer.header("X-Signature") == "sig");
             CHECK(result->answer.body == std::string("x\0y", 3));
+            CHECK(result->answered_by == directory::upstream_incarnation{"u", 8});
         }
         SUBCASE("a withdrawal reaches the gate, and its answer is dropped") {
             local.links.withdraw(to_string(remote.address), number);
             REQUIRE(run_until([&] { return !remote.withdrawn.empty(); }));
             CHECK(remote.withdrawn.front() == got.number);
-            got.reply({200, {}, {}, false});
+            got.reply({200, {}, {}, false}, {});
             context.run_for(milliseconds(50));
             CHECK_FALSE(result);
         }
@@ -193,7 +194,7 @@
         CHECK(repeatable->end == routed_end::lost);
         CHECK_FALSE(once);
         CHECK(local.links.gate_of(gated).empty());
-        slow.requests.front().reply({200, {}, {}, false});
+        slow.requests.front().reply({200, {}, {}, false}, {});
         REQUIRE(run_both([&] { return once.has_value() && slow.withdrawn.size() == 1; }));
         CHECK(once->end == routed_end::answered);
         CHECK(slow.withdrawn.front() == slow.requests.back().number);
