Leases: a short first grant after a move

An unanswered grant may hold for the lease time that it asks for, 9 s, so nobody else could get the key.

The first grant after a move (with a handover) asks for 1.3 s and is followed by a full one as soon as it is answered, so the silence of the upstream, not its lease, decides when the key gets another owner.

--- a/include/kingcupseam/key_ranges.h
+++ b/include/kingcupseam/key_ranges.h
@@ -83,6 +83,9 @@
 struct lease_manager_options {
     /// Lease time of a grant; the upstream counts it from the grant's arrival.
     duration lease_time = std::chrono::seconds(9);
+    /// Lease time of the first grant after a move; the answer is followed by a full one. While that grant is
+    /// unanswered, nobody else can be given the keys.
+    duration first_lease_time = std::chrono::milliseconds(1300);
     /// Fraction by which an upstream's clock may be slow. The upstreams specify 2%.
     double clock_error = 0.025;
     /// Allowance for scheduling delays of this process and of the upstream.
@@ -176,6 +179,7 @@
         bool reassigning = false;     ///< a reassignment was proposed; not renewed any more
         std::vector<move_part> parts; ///< being moved; not renewed meanwhile
         std::string handover;         ///< for the first grant
+        duration requested_time{};    ///< lease time of the last grant that was sent
 
         time_point may_hold_until() const;
         /// Whether only answered grants of this epoch can be in effect: an answered release then ends the
@@ -184,8 +188,8 @@
     };
     using lease_map = std::map<key_number, lease>;
 
-    /// Longest time after its arrival for which the owner may count a grant as valid.
-    duration max_lease_duration() const;
+    /// Longest time after its arrival for which the owner may count a grant of @p lease_time as valid.
+    duration max_lease_duration(duration lease_time) const;
     void synchronize(const directory::snapshot& state);
     lease carried_over_lease(const std::string& service, const directory::key_range& range);
     void assign_vacant(const std::string& service, const view& known, time_point now, effects& out);
--- a/src/key_ranges/lease_manager.cpp
+++ b/src/key_ranges/lease_manager.cpp
@@ -51,9 +51,8 @@
 lease_manager::lease_manager(lease_manager_options settings, time_point elected)
     : settings_(settings), elected_(elected) {}
 
-duration lease_manager::max_lease_duration() const {
-    return std::chrono::duration_cast<duration>(settings_.lease_time * (1 + settings_.clock_error)) +
-           settings_.margin;
+duration lease_manager::max_lease_duration(duration lease_time) const {
+    return std::chrono::duration_cast<duration>(lease_time * (1 + settings_.clock_error)) + settings_.margin;
 }
 
 lease_manager::effects lease_manager::tick(const view& known, time_point now) {
@@ -107,7 +106,7 @@
     lease result;
     result.range = range;
     if (synchronized_index_ == 0) {
-        result.lower_epochs_until = elected_ + max_lease_duration();
+        result.lower_epochs_until = elected_ + max_lease_duration(settings_.lease_time);
         return result;
     }
     const auto& held = leases_[service];
@@ -300,10 +299,12 @@
     const auto condition = known.conditions.find(owner.incarnation.id);
     const bool announcement_late = condition == known.conditions.end() ||
                                    now - condition->second.last_announced > settings_.announce_timeout / 2;
+    const bool first_after_move = !held.handover.empty();
+    held.requested_time = first_after_move ? settings_.first_lease_time : settings_.lease_time;
     held.open_call = next_call_id_++;
     calls_[held.open_call] = {owner.service, held.range.first};
     out.calls.push_back({held.open_call, call_kind::grant, held.range.owner, owner.address, held.range.first,
-                         held.range.last, held.range.epoch, settings_.lease_time, held.handover,
+                         held.range.last, held.range.epoch, held.requested_time, held.handover,
                          announcement_late});
 }
 
@@ -364,17 +365,20 @@
     held.next_call = now + settings_.retry_delay;
     held.unreachable = result == call_result::not_sent;
     if (result == call_result::done) {
-        held.answered_until = now + max_lease_duration();
+        held.answered_until = now + max_lease_duration(held.requested_time);
         held.lower_epochs_until = {};
         held.confirmed = true;
         held.failed_calls = 0;
         held.handover.clear();
-        held.next_call = now + settings_.lease_time / renewals_per_lease;
+        held.next_call = held.requested_time < settings_.lease_time
+                             ? now
+                             : now + settings_.lease_time / renewals_per_lease;
         return;
     }
     ++held.failed_calls;
     if (result == call_result::unanswered) {
-        held.unanswered_until = now + max_lease_duration();
+        held.unanswered_until =
+            std::max(held.unanswered_until, now + max_lease_duration(held.requested_time));
     }
 }
 
--- a/tests/key_ranges/lease_manager_test.cpp
+++ b/tests/key_ranges/lease_manager_test.cpp
@@ -44,7 +44,9 @@
         std::vector<call> releases;
         for (const time_point end = now + length; now < end; now += std::chrono::milliseconds(50)) {
             for (const auto& [id, it] : state.upstreams) {
-                conditions[id].last_announced = now;
+                if (id != cut_off) {
+                    conditions[id].last_announced = now;
+                }
             }
             auto effects = manager.tick({state, conditions, loads}, now);
             if (!effects.command.empty()) {
@@ -54,11 +56,18 @@
             for (const auto& it : effects.calls) {
                 if (it.kind == call_kind::release) {
                     releases.push_back(it);
+                } else {
+                    grants.emplace_back(now, it);
                 }
-                if (unreachable == it.target.id) {
+                if (cut_off_at_next_move && cut_off.empty() && !it.handover.empty()) {
+                    cut_off = it.target.id;
+                    moved_key = it.first;
+                    manager.on_result(it.id, call_result::unanswered, {}, now);
+                } else if (unreachable == it.target.id || cut_off == it.target.id) {
                     manager.on_result(it.id, call_result::not_sent, {}, now);
                 } else if (it.kind == call_kind::grant || answers_releases) {
-                    manager.on_result(it.id, call_result::done, {}, now);
+                    manager.on_result(it.id, call_result::done,
+                                      it.kind == call_kind::release ? "handover" : "", now);
                 }
             }
         }
@@ -71,7 +80,12 @@
     }
 
     bool answers_releases = false;
-    std::string unreachable; ///< id of the upstream that the leader cannot connect to
+    /// The target of the next move is cut off from the leader while its first grant is in transit.
+    bool cut_off_at_next_move = false;
+    std::string cut_off;                             ///< id of that upstream, which announces itself no more
+    key_number moved_key = 0;                        ///< first key of that move
+    std::vector<std::pair<time_point, call>> grants; ///< when they were sent
+    std::string unreachable;                         ///< id of the upstream that the leader cannot connect to
     key_number keys_each;
     time_point now{std::chrono::seconds(100)};
     directory::snapshot state;
@@ -124,6 +138,60 @@
     }
 }
 
+// Guards against a busy key without an owner for a whole lease time: its move to an upstream that was cut off
+// at that moment left a grant unanswered, and its callers were refused for 4.5 s (inc-b709).
+TEST_CASE("a key whose new owner does not answer its first grant gets another owner") {
+    leader_fixture leader(4);
+    leader.answers_releases = true;
+    leader.add_load(0, directory::last_key, 1);
+    leader.run(std::chrono::seconds(12));
+    leader.add_load(leader.first_key(0), leader.first_key(1) - 1, 8);
+    leader.cut_off_at_next_move = true;
+    while (leader.cut_off.empty() && leader.now < time_point(std::chrono::seconds(120))) {
+        leader.run(std::chrono::milliseconds(50));
+    }
+    REQUIRE_FALSE(leader.cut_off.empty());
+    const auto begun = leader.now;
+    const auto is_moving_key_served = [&] {
+        return leader.state.range_of("s", leader.moved_key)->owner.id != leader.cut_off;
+    };
+    while (!is_moving_key_served() && leader.now - begun < std::chrono::seconds(20)) {
+        leader.run(std::chrono::milliseconds(50));
+    }
+    // Three missed announcements, and the time to plan.
+    CHECK(leader.now - begun <= lease_manager_options{}.announce_timeout + std::chrono::milliseconds(500));
+}
+
+// Guards against an owner that loses its keys because its first grant after a move was a short one.
+TEST_CASE("the lease of a moved key is renewed in full as soon as its first grant is answered") {
+    leader_fixture leader(4);
+    leader.answers_releases = true;
+    leader.add_load(0, directory::last_key, 1);
+    leader.run(std::chrono::seconds(12));
+    leader.add_load(leader.first_key(0), leader.first_key(1) - 1, 8);
+    leader.grants.clear();
+    leader.run(std::chrono::seconds(2));
+    const lease_manager_options settings;
+    std::size_t moved = 0;
+    for (std::size_t n = 0; n < leader.grants.size(); ++n) {
+        const auto& first = leader.grants[n];
+        if (first.second.handover.empty()) {
+            continue;
+        }
+        ++moved;
+        CHECK(first.second.lease_time == settings.first_lease_time);
+        const auto renewal = std::find_if(leader.grants.begin() + static_cast<std::ptrdiff_t>(n) + 1,
+                                          leader.grants.end(), [&](const auto& it) {
+                                              return it.second.first == first.second.first &&
+                                                     it.second.epoch == first.second.epoch;
+                                          });
+        REQUIRE(renewal != leader.grants.end());
+        CHECK(renewal->second.lease_time == settings.lease_time);
+        CHECK(renewal->first - first.first <= std::chrono::milliseconds(100));
+    }
+    CHECK(moved > 0);
+}
+
 TEST_CASE("a key never has two owners while leaders, upstreams and the network fail") {
     constexpr std::uint64_t seeds = 150;
     lease_manager_options settings;
