Upstreams that reset the connection when they are full are sent less at once

Callers got 502 for 3 of 10 lookups sent at once to an upstream with 4 slots that resets the connections of further ones: each was repeated at once, into the same full upstream, and six resets in a row ejected it for longer than the target latency.

A reset within half of the mean service time, while other requests of the entry run there, shrinks a shared window to those for 2 s; the repeat waits for an answer. Any other break counts as a failure as before.

--- a/src/app/stand_in_endpoints.cpp
+++ b/src/app/stand_in_endpoints.cpp
@@ -223,6 +223,7 @@
                                {"refused_deadline", totals.refused_deadline},
                                {"refused_cancelled", totals.refused_cancelled},
                                {"shed", totals.shed},
+                               {"reset", totals.reset},
                                {"cancelled", totals.cancelled},
                                {"late", totals.late},
                                {"crossed", totals.crossed},
--- a/src/app/stand_in_options.cpp
+++ b/src/app/stand_in_options.cpp
@@ -28,6 +28,8 @@
                  "maximum number of connections that it accepts");
     parser.add()("waiting", po::value<std::uint64_t>()->default_value(16),
                  "maximum number of requests that wait for a slot; others are shed");
+    parser.add()("reset-when-full", po::bool_switch(),
+                 "reset the connection of a request that would be shed, without an answer");
     parser.add()("no-grant-checks", po::bool_switch(), "also run requests without a live grant");
     parser.add()("service-time", po::value<double>()->default_value(10), "mean time of an execution, ms");
     parser.add()("service-time-spread", po::value<double>()->default_value(0),
@@ -57,6 +59,7 @@
     result.slots = static_cast<std::uint32_t>(parser.integer("slots", 1, 1024));
     result.max_connections = static_cast<std::uint32_t>(parser.integer("connections", 1, 65535));
     result.max_waiting = static_cast<std::uint32_t>(parser.integer("waiting", 0, 1'000'000));
+    result.resets_when_full = parser.flag("reset-when-full");
     result.checks_grants = !parser.flag("no-grant-checks");
     result.service_time = parser.milliseconds("service-time", 0, day_ms);
     result.service_time_spread = parser.number("service-time-spread", 0, 3);
--- a/src/app/stand_in_options.h
+++ b/src/app/stand_in_options.h
@@ -44,6 +44,7 @@
     std::uint32_t slots = 2;             ///< requests that run at once
     std::uint32_t max_connections = 120; ///< further connections are closed at once
     std::uint32_t max_waiting = 16;      ///< further requests are shed
+    bool resets_when_full = false;       ///< resets the connection of a request instead of shedding it
     bool checks_grants = true;           ///< refuses requests without a live grant
     duration service_time{};             ///< mean time of an execution
     double service_time_spread = 0;      ///< sigma of the lognormal distribution; 0: fixed
--- a/src/app/stand_in_server.cpp
+++ b/src/app/stand_in_server.cpp
@@ -39,6 +39,7 @@
             [self = shared_from_this()](const asio::error_code& ec, std::size_t n) { self->on_read(ec, n); });
     }
     void answer(const http_response& response, answer_damage damage) override;
+    void reset() override;
     void silence() noexcept { silent_ = true; }
     void close();
 
@@ -175,6 +176,12 @@
                       });
 }
 
+void connection::reset() {
+    asio::error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    close();
+}
+
 void connection::close() {
     asio::error_code ec;
     socket_.close(ec);
--- a/src/app/stand_in_server.h
+++ b/src/app/stand_in_server.h
@@ -25,6 +25,8 @@
     virtual ~stand_in_connection() = default;
     /// Answers the request in progress. No effect once the connection is closed or silenced.
     virtual void answer(const http_response& response, answer_damage damage) = 0;
+    /// Closes the connection with a reset (RST), without an answer to the request in progress.
+    virtual void reset() = 0;
 };
 using stand_in_connection_ptr = std::shared_ptr<stand_in_connection>;
 
--- a/src/app/stand_in_worker.cpp
+++ b/src/app/stand_in_worker.cpp
@@ -32,6 +32,9 @@
         start(std::move(task));
     } else if (waiting_.size() < settings_.max_waiting) {
         waiting_.push_back(std::move(task));
+    } else if (settings_.resets_when_full) {
+        ++counts_.reset;
+        task.connection->reset();
     } else {
         ++counts_.shed;
         refuse(task, 503, "shed");
--- a/src/app/stand_in_worker.h
+++ b/src/app/stand_in_worker.h
@@ -40,6 +40,7 @@
     std::uint64_t refused_deadline = 0;  ///< the deadline passed before the start
     std::uint64_t refused_cancelled = 0; ///< cancelled before the request arrived
     std::uint64_t shed = 0;              ///< too many requests waited already
+    std::uint64_t reset = 0;             ///< likewise, and their connections were reset
     std::uint64_t cancelled = 0;         ///< cancelled while the request waited
     std::uint64_t late = 0;              ///< answers that the fault of this name hit
     std::uint64_t crossed = 0;           ///< likewise
--- a/src/router/upstream_queue.cpp
+++ b/src/router/upstream_queue.cpp
@@ -17,6 +17,8 @@
 constexpr double overload_decrease_factor = 0.8;
 constexpr double shed_decrease_factor = 0.5;
 constexpr duration shed_pause = std::chrono::milliseconds(20);
+// Growth of the window costs a request where a full upstream resets the connection.
+constexpr duration reset_hold = std::chrono::seconds(2);
 /// The ejection time doubles with each further failure.
 constexpr std::uint32_t failures_before_ejection = 2;
 constexpr duration base_ejection_time = std::chrono::milliseconds(200);
@@ -77,7 +79,7 @@
         load_ = *load;
         load_at_ = now;
     }
-    if (use_ == upstream_use::shared) {
+    if (use_ == upstream_use::shared && now >= constant_until_) {
         adapt_window(load);
     }
 }
@@ -109,6 +111,19 @@
     shed_until_ = now + shed_pause;
 }
 
+void upstream_queue::on_reset_early(time_point now) {
+    if (in_flight_ <= 1) {
+        on_failed(now);
+        return;
+    }
+    on_ended();
+    if (use_ == upstream_use::shared) {
+        window_ = std::min(window_, static_cast<double>(in_flight_));
+        constant_until_ = now + reset_hold;
+    }
+    shed_until_ = now + shed_pause;
+}
+
 void upstream_queue::on_failed(time_point now) {
     on_ended();
     ++consecutive_failures_;
--- a/src/router/upstream_queue.h
+++ b/src/router/upstream_queue.h
@@ -57,6 +57,9 @@
     /// The upstream refused a request as overloaded. The window shrinks unless the reported load shows that
     /// there is room: a faulty upstream refuses requests at random.
     void on_shed(const std::optional<reported_load>& load, time_point now);
+    /// The connection was reset so early that the upstream has hardly served the request. While it works on
+    /// others of this entry it is taken for full: a shared window shrinks to those. Otherwise as on_failed().
+    void on_reset_early(time_point now);
     /// The connection could not be made, broke, or timed out.
     void on_failed(time_point now);
     /// The request ended in a way that shows nothing about the upstream.
@@ -108,6 +111,7 @@
     std::uint32_t consecutive_failures_ = 0;
     time_point ejected_until_;
     time_point shed_until_;
+    time_point constant_until_; ///< the window does not change before
     time_point last_send_ = time_point::max();
     time_point paused_until_;
     time_point next_send_; ///< earliest next send while the window is below one
--- a/tests/process/stand_in_process_test.cpp
+++ b/tests/process/stand_in_process_test.cpp
@@ -154,6 +154,22 @@
     }
 }
 
+// Guards against a model that answers where a full upstream of a user resets the connection.
+TEST_CASE_FIXTURE(fixture, "a full stand-in resets the connection of a further request when told to") {
+    child process(stand_in_arguments({"--slots", "1", "--waiting", "0", "--reset-when-full"}));
+    wait_until_up();
+    std::optional<http_result> first;
+    client.send(call_to("POST", "/work"), [&](http_result it) { first = std::move(it); });
+    context.restart();
+    context.run_for(100ms);
+    CHECK(run(call_to("POST", "/work")).failure == http_failure::broken);
+    context.restart();
+    context.run_for(400ms);
+    REQUIRE(first);
+    CHECK(first->failure == http_failure::none);
+    CHECK(judge_folder(folder, 100).runs_by_idempotency_key.at("id") == 1);
+}
+
 // Guards against an upstream that instances never learn of, or that they still use when it stops.
 TEST_CASE_FIXTURE(fixture, "a stand-in without a grant repeats its announcement and announces draining") {
     const auto instance_port = test::free_port();
