Leases: the first grant after a move never asks for more than the lease time

Where the longest allowed lease is below 1.3 s, an upstream would have refused each first grant after a move.

The divisor of early resets got a name that says what it divides.

--- a/include/kingcupseam/key_ranges.h
+++ b/include/kingcupseam/key_ranges.h
@@ -83,8 +83,8 @@
 struct lease_manager_options {
     /// Lease time of a grant; the upstream counts it from the grant's arrival.
     duration lease_time = std::chrono::seconds(9);
-    /// Lease time of the first grant after a move; the answer is followed by a full one. While that grant is
-    /// unanswered, nobody else can be given the keys.
+    /// Lease time of the first grant after a move, at most lease_time; its answer is followed by a full one.
+    /// While that grant is unanswered, nobody else can be given the keys.
     duration first_lease_time = std::chrono::milliseconds(1300);
     /// Fraction by which an upstream's clock may be slow. The upstreams specify 2%.
     double clock_error = 0.025;
--- a/src/key_ranges/lease_manager.cpp
+++ b/src/key_ranges/lease_manager.cpp
@@ -297,7 +297,8 @@
     const bool announcement_late = condition == known.conditions.end() ||
                                    now - condition->second.last_announced > settings_.announce_timeout / 2;
     const bool first_after_move = !held.handover.empty();
-    held.requested_time = first_after_move ? settings_.first_lease_time : settings_.lease_time;
+    held.requested_time =
+        first_after_move ? std::min(settings_.first_lease_time, settings_.lease_time) : settings_.lease_time;
     held.open_call = next_call_id_++;
     calls_[held.open_call] = {owner.service, held.range.first};
     out.calls.push_back({held.open_call, call_kind::grant, held.range.owner, owner.address, held.range.first,
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr std::int64_t microseconds_per_millisecond = 1000;
-// A request hardly ends in a smaller part of the mean service time.
-constexpr int min_service_divisor = 2;
+// A reset within this fraction of the mean service time is early: the request has hardly been served.
+constexpr int early_reset_divisor = 2;
 
 double seconds(duration value) {
     return std::chrono::duration<double>(value).count();
@@ -49,7 +49,7 @@
             if (result.end == exchange_end::timeout && it->deadline - it->sent_at < it->route.timeout / 2) {
                 record_overdue(it, *from); // the attempt had little time: not a failure of the upstream
             } else if (result.end == exchange_end::broken &&
-                       steady_now() - it->sent_at < from->service_time() / min_service_divisor) {
+                       steady_now() - it->sent_at < from->service_time() / early_reset_divisor) {
                 from->on_reset_early(steady_now());
             } else {
                 from->on_failed(steady_now());
--- a/tests/key_ranges/lease_manager_test.cpp
+++ b/tests/key_ranges/lease_manager_test.cpp
@@ -21,8 +21,8 @@
 /// A leader without faults whose upstreams own equal parts of the keys, in virtual time. Grants are answered.
 class leader_fixture {
 public:
-    explicit leader_fixture(int upstreams)
-        : keys_each((directory::last_key + 1) / upstreams), manager({}, now) {
+    explicit leader_fixture(int upstreams, const lease_manager_options& settings = {})
+        : keys_each((directory::last_key + 1) / upstreams), manager(settings, now) {
         auto config = std::make_shared<directory::configuration>();
         config->version = 1;
         config->services["s"] = {"s", "/", 100, true, {}};
@@ -192,6 +192,24 @@
     CHECK(moved > 0);
 }
 
+// Guards against a grant that upstreams refuse because it asks for more than their longest lease.
+TEST_CASE("no grant asks for more than the lease time") {
+    lease_manager_options settings;
+    settings.lease_time = std::chrono::milliseconds(900);
+    leader_fixture leader(4, settings);
+    leader.answers_releases = true;
+    leader.add_load(0, directory::last_key, 1);
+    leader.run(std::chrono::seconds(4));
+    leader.add_load(leader.first_key(0), leader.first_key(1) - 1, 8);
+    leader.run(std::chrono::seconds(2));
+    bool moved = false;
+    for (const auto& [sent, it] : leader.grants) {
+        moved = moved || !it.handover.empty();
+        CHECK(it.lease_time <= settings.lease_time);
+    }
+    CHECK(moved);
+}
+
 TEST_CASE("a key never has two owners while leaders, upstreams and the network fail") {
     constexpr std::uint64_t seeds = 150;
     lease_manager_options settings;
