Review case 4: eight kept connections at each entry

Cause: with four, the fewest cut requests of a run were close to the bound. Change: eight connections.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -70,7 +70,7 @@
             await lives[-1].start()
         await cluster.wait_ready()
         await asyncio.sleep(8)
-        kept = [KeptConnection(cluster, e, n) for e in range(ENTRIES) for n in range(4)]
+        kept = [KeptConnection(cluster, e, n) for e in range(ENTRIES) for n in range(8)]
         tasks = [asyncio.create_task(it.run()) for it in kept]
         await asyncio.sleep(3)
         consumer = Consumer(cluster)
