--- a/review/support/cluster.py
+++ b/review/support/cluster.py
@@ -123,7 +123,7 @@
     held = []
     for _ in range(count):
         it = socket.socket()
-        it.bind(("0.0.0.0", 0))
+        it.bind(("127.0.0.1", 0))
         held.append(it)
     ports = [it.getsockname()[1] for it in held]
     for it in held:
@@ -529,6 +529,7 @@
 def main(case, folder, limit_s=110):
     """Runs a case and exits with its verdict: 1 broken, 0 held, 2 could not run."""
     record = Record(folder)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends the processes also when this one is ended
 
     async def run():
         async with asyncio.timeout(limit_s):
