Leases: a restarted upstream keeps its keys under a higher epoch

Cause: the leader took the answered leases of an owner for ended as soon as its incarnation was gone from the directory. Grants name only the id, so a new incarnation answers the renewals that were meant for the former one before its first report.

Now a range follows its owner to the new incarnation with a higher epoch, and the range of an owner that is not registered any more is released at its last address before it counts as vacant. The lease lasts until one of these is answered, so nobody else is given the keys while somebody may hold them.

Evidence: the property test now simulates upstreams that know only their id and register with a later report.

--- a/include/kingcupseam/key_ranges.h
+++ b/include/kingcupseam/key_ranges.h
@@ -120,8 +120,9 @@
 
 enum class call_result : std::uint8_t {
     done,
-    refused,    ///< the upstream answered that it did not carry it out
-    unanswered, ///< the upstream may have carried it out or may do so later
+    refused,        ///< the upstream answered that it did not carry it out
+    wrong_upstream, ///< the process at the address is another upstream: the target has ended
+    unanswered,     ///< the upstream may have carried it out or may do so later
     not_sent,
 };
 
@@ -168,18 +169,20 @@
     /// This leader's knowledge of the lease of one range.
     struct lease {
         directory::key_range range;
+        endpoint_address address;      ///< last known one of the owner
         time_point answered_until;     ///< from answered grants of this epoch
         time_point unanswered_until;   ///< from unanswered grants of this epoch
         time_point lower_epochs_until; ///< from grants of lower epochs; cleared once this epoch is answered
         bool confirmed = false;        ///< a grant of this epoch was answered
         time_point next_call;
-        std::uint64_t open_call = 0;  ///< 0 when no grant is in progress
-        int failed_calls = 0;         ///< failed grants in a row
-        bool unreachable = false;     ///< the last call could not be sent
-        bool reassigning = false;     ///< a reassignment was proposed; not renewed any more
-        std::vector<move_part> parts; ///< being moved; not renewed meanwhile
-        std::string handover;         ///< for the first grant
-        duration requested_time{};    ///< lease time of the last grant that was sent
+        std::uint64_t open_call = 0;    ///< 0 when no grant is in progress
+        std::uint64_t open_release = 0; ///< release of all keys of an unregistered owner; 0 when none
+        int failed_calls = 0;           ///< failed grants in a row
+        bool unreachable = false;       ///< the last call could not be sent
+        bool reassigning = false;       ///< a reassignment was proposed; not renewed any more
+        std::vector<move_part> parts;   ///< being moved; not renewed meanwhile
+        std::string handover;           ///< for the first grant
+        duration requested_time{};      ///< lease time of the last grant that was sent
 
         time_point may_hold_until() const;
         /// Whether only answered grants of this epoch can be in effect: an answered release then ends the
@@ -198,12 +201,20 @@
     void start_moves(const std::string& service, const view& known, time_point now, effects& out);
     /// Sends the grants of ranges that stay and the releases of parts that move.
     void send_due_calls(const std::string& service, const view& known, time_point now, effects& out);
+    /// Asks the process at the address of an owner that is not registered any more to give up the range. It
+    /// may hold it: a grant names only the id, which a later incarnation shares.
+    void release_unregistered(const std::string& service, lease& held, time_point now, effects& out);
     void release_parts(lease& held, const directory::upstream& owner, time_point now, effects& out);
     void send_grant(lease& held, const directory::upstream& owner, const view& known, time_point now,
                     effects& out);
     /// Assigns unsettled ranges of owners that accept no work to the same owners again: once the new epoch is
     /// answered, their leases are settled and can be released.
     void assign_new_epochs(const std::string& service, const view& known, time_point now, effects& out);
+    /// The registered upstream that has replaced the owner of a range under the same id; null if there is
+    /// none.
+    static const directory::upstream* later_incarnation(const std::string& service,
+                                                        const directory::upstream_incarnation& owner,
+                                                        const directory::snapshot& state);
     bool is_silent(const std::string& id, const view& known, time_point now) const;
     bool is_lost(const lease& held, const view& known, time_point now) const;
     void on_grant_result(lease& held, call_result result, time_point now) const;
--- a/src/key_ranges/lease_manager.cpp
+++ b/src/key_ranges/lease_manager.cpp
@@ -92,7 +92,11 @@
     std::map<std::string, lease_map> next;
     for (const auto& [service, ranges] : state.ranges) {
         for (const auto& [first, it] : ranges) {
-            next[service].emplace(first, carried_over_lease(service, it));
+            lease carried = carried_over_lease(service, it);
+            if (const upstream* owner = state.find(it.owner)) {
+                carried.address = owner->address;
+            }
+            next[service].emplace(first, std::move(carried));
         }
     }
     leases_ = std::move(next);
@@ -110,10 +114,11 @@
     auto at = held.upper_bound(range.first);
     for (at = at == held.begin() ? at : std::prev(at); at != held.end() && at->first <= range.last; ++at) {
         const lease& old = at->second;
-        if (old.range.last < range.first || old.range.owner != range.owner) {
+        // An earlier incarnation counts: a later one may have answered the grants that were meant for it.
+        if (old.range.last < range.first || old.range.owner.id != range.owner.id) {
             continue;
         }
-        if (old.range.epoch == range.epoch) {
+        if (old.range.owner == range.owner && old.range.epoch == range.epoch) {
             result = old;
             result.range = range;
             std::erase_if(result.parts, [&](const move_part& it) {
@@ -153,6 +158,15 @@
     return result;
 }
 
+const upstream* lease_manager::later_incarnation(const std::string& service,
+                                                 const directory::upstream_incarnation& owner,
+                                                 const snapshot& state) {
+    const auto it = state.upstreams.find(owner.id);
+    const bool replaced =
+        it != state.upstreams.end() && it->second.incarnation != owner && it->second.service == service;
+    return replaced ? &it->second : nullptr;
+}
+
 bool lease_manager::is_silent(const std::string& id, const view& known, time_point now) const {
     const auto it = known.conditions.find(id);
     return it == known.conditions.end() || now - it->second.last_announced > settings_.announce_timeout;
@@ -175,11 +189,16 @@
     range_map kept;
     std::vector<lease*> lost;
     for (auto& [first, it] : leases_[service]) {
-        if (known.state.find(it.range.owner) == nullptr) {
-            // The owner's process has ended; only unanswered calls can still take effect.
-            it.answered_until = {};
-        }
-        if (is_lost(it, known, now)) {
+        if (const upstream* successor = later_incarnation(service, it.range.owner, known.state)) {
+            // No other upstream may be given the range: the successor holds it if it answered a renewal.
+            key_range next = it.range;
+            next.owner = successor->incarnation;
+            kept.emplace(first, next);
+            if (it.open_call == 0) {
+                out.command.assignments.push_back({service, next.first, next.last, next.owner});
+                it.reassigning = true;
+            }
+        } else if (is_lost(it, known, now)) {
             vacant.push_back({it.range.first, it.range.last, it.range.owner, 0});
             lost.push_back(&it);
         } else {
@@ -271,6 +290,26 @@
     }
 }
 
+void lease_manager::release_unregistered(const std::string& service, lease& held, time_point now,
+                                         effects& out) {
+    const bool can_be_ended = held.answered_until > now && held.address.port != 0;
+    if (!can_be_ended || held.open_call != 0 || held.open_release != 0 || now < held.next_call) {
+        return;
+    }
+    held.open_release = next_call_id_++;
+    calls_[held.open_release] = {service, held.range.first};
+    out.calls.push_back({held.open_release,
+                         call_kind::release,
+                         held.range.owner,
+                         held.address,
+                         held.range.first,
+                         held.range.last,
+                         held.range.epoch,
+                         {},
+                         {},
+                         false});
+}
+
 void lease_manager::release_parts(lease& held, const upstream& owner, time_point now, effects& out) {
     for (auto& part : held.parts) {
         if (part.released || part.open_call != 0 || now < part.next_call) {
@@ -309,13 +348,15 @@
 void lease_manager::send_due_calls(const std::string& service, const view& known, time_point now,
                                    effects& out) {
     for (auto& [first, it] : leases_[service]) {
-        const upstream* owner = known.state.find(it.range.owner);
-        if (owner == nullptr || it.reassigning) {
+        if (it.reassigning) {
             continue;
         }
-        if (!it.parts.empty()) {
+        const upstream* owner = known.state.find(it.range.owner);
+        if (owner == nullptr) {
+            release_unregistered(service, it, now, out);
+        } else if (!it.parts.empty()) {
             release_parts(it, *owner, now, out);
-        } else if (it.open_call == 0 && now >= it.next_call) {
+        } else if (it.open_call == 0 && it.open_release == 0 && now >= it.next_call) {
             send_grant(it, *owner, known, now, out);
         }
     }
--- a/src/key_ranges/lease_manager_results.cpp
+++ b/src/key_ranges/lease_manager_results.cpp
@@ -28,6 +28,14 @@
         on_grant_result(*held, result, now);
         return;
     }
+    if (held->open_release == call_id) {
+        held->open_release = 0;
+        held->next_call = now + settings_.retry_delay;
+        if (result == call_result::done || result == call_result::wrong_upstream) {
+            held->answered_until = {}; // only unanswered grants can still take effect
+        }
+        return;
+    }
     const auto part = std::find_if(held->parts.begin(), held->parts.end(),
                                    [&](const move_part& it) { return it.open_call == call_id; });
     if (part == held->parts.end()) {
--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -29,6 +29,8 @@
         return "done";
     case key_ranges::call_result::refused:
         return "refused";
+    case key_ranges::call_result::wrong_upstream:
+        return "wrong-upstream";
     case key_ranges::call_result::unanswered:
         return "unanswered";
     case key_ranges::call_result::not_sent:
@@ -37,11 +39,14 @@
     return "invalid";
 }
 
-key_ranges::call_result to_call_result(const exchange_result& it) {
+key_ranges::call_result to_call_result(const exchange_result& it, const protocol_adapter& protocol) {
     switch (it.end) {
     case exchange_end::answered:
-        return it.answer.status == status_ok ? key_ranges::call_result::done
-                                             : key_ranges::call_result::refused;
+        if (it.answer.status == status_ok) {
+            return key_ranges::call_result::done;
+        }
+        return protocol.read_answer({}, it.answer).wrong_upstream ? key_ranges::call_result::wrong_upstream
+                                                                  : key_ranges::call_result::refused;
     case exchange_end::not_sent:
         return key_ranges::call_result::not_sent;
     case exchange_end::broken:
@@ -108,7 +113,7 @@
         // while requests run on them.
         request.new_connection = call.new_connection || call.kind == key_ranges::call_kind::release;
         client_.send(std::move(request), [this, call, done = std::move(done)](const exchange_result& it) {
-            const auto result = to_call_result(it);
+            const auto result = to_call_result(it, protocol_);
             // Grants and releases are called orders in the names of the metric and the log event.
             registry_
                 .counter_of("orders_total", "orders to upstreams by kind and result",
--- a/tests/key_ranges/lease_manager_test.cpp
+++ b/tests/key_ranges/lease_manager_test.cpp
@@ -255,6 +255,58 @@
     CHECK(leader.state.range_of("s", 1001)->owner != leaving.incarnation);
 }
 
+// Guards against two holders of a key after a restart (review case 1): an upstream that starts again under
+// its id accepts the renewals that were meant for its former incarnation, and its keys went to another
+// upstream.
+TEST_CASE("keys of an upstream that starts again under its id are not given to another one") {
+    leader_fixture leader(2);
+    leader.answers_releases = true;
+    leader.run(std::chrono::seconds(12)); // until the former leader's leases have ended
+    const directory::snapshot before = leader.state;
+    directory::command restart;
+    restart.upstreams.push_back(leader.state.upstreams.at("u0"));
+
+    SUBCASE("it keeps its keys with a higher epoch") {
+        restart.upstreams.back().incarnation.started_ms = 2;
+        leader.apply(restart);
+        leader.run(std::chrono::seconds(1));
+        const auto* held = leader.state.range_of("s", 0);
+        CHECK(held->owner == restart.upstreams.back().incarnation);
+        CHECK(held->epoch > before.range_of("s", 0)->epoch);
+    }
+    SUBCASE("also under a new leader, before its first leases may have ended") {
+        restart.upstreams.back().incarnation.started_ms = 2;
+        leader.apply(restart);
+        leader.manager = lease_manager({}, leader.now);
+        leader.run(std::chrono::seconds(3));
+        CHECK(leader.state.range_of("s", 0)->owner == restart.upstreams.back().incarnation);
+    }
+    SUBCASE("an id that is removed is released at its address before its keys move") {
+        directory::command removal;
+        removal.removed_upstreams.push_back("u0");
+        leader.apply(removal);
+        leader.answers_releases = false;
+        const auto releases = leader.run(std::chrono::seconds(1));
+        REQUIRE(releases.size() == 1);
+        CHECK(releases.front().address == restart.upstreams.back().address);
+        CHECK(leader.state.range_of("s", 0)->owner.id == "u0");
+        leader.manager.on_result(releases.front().id, call_result::wrong_upstream, {}, leader.now);
+        leader.run(std::chrono::seconds(1));
+        CHECK(leader.state.range_of("s", 0)->owner.id == "u1");
+    }
+    SUBCASE("an id that is removed and does not answer keeps its keys until its lease has ended") {
+        directory::command removal;
+        removal.removed_upstreams.push_back("u0");
+        leader.apply(removal);
+        leader.unreachable = "u0";
+        const auto lease_end = leader.manager.may_hold_until("s", 0);
+        leader.run(lease_end - leader.now - std::chrono::milliseconds(100));
+        CHECK(leader.state.range_of("s", 0)->owner.id == "u0");
+        leader.run(std::chrono::seconds(1));
+        CHECK(leader.state.range_of("s", 0)->owner.id == "u1");
+    }
+}
+
 TEST_CASE("every key has an owner again after the faults have ended") {
     for (std::uint64_t seed = 1000; seed < 1040; ++seed) {
         CAPTURE(seed);
--- a/tests/key_ranges/lease_simulation.h
+++ b/tests/key_ranges/lease_simulation.h
@@ -15,7 +15,8 @@
 using directory::upstream_incarnation;
 
 /// Simulates upstreams, leaders and a faulty network in virtual time. Grants may be lost, be applied late
-/// without an answer, or reach an upstream after their leader was replaced.
+/// without an answer, or reach an upstream after their leader was replaced. An upstream that starts again has
+/// its former id or a new one at the same address, and registers only with its first report.
 class lease_simulation {
 public:
     lease_simulation(std::uint64_t seed, lease_manager_options settings)
@@ -27,6 +28,7 @@
         state_.index = 1;
         for (int i = 0; i < upstream_count; ++i) {
             start_upstream(i);
+            register_upstream(i);
         }
         elect();
     }
@@ -66,6 +68,7 @@
 
 private:
     static constexpr int upstream_count = 5;
+    static constexpr int first_port = 1000;
     static constexpr duration step = std::chrono::milliseconds(20);
     static constexpr std::array<key_number, 9> samples{0,     100,   8000,  16000, 24000,
                                                        32768, 48000, 60000, 65535};
@@ -80,6 +83,7 @@
     };
     struct simulated_upstream {
         upstream_incarnation incarnation;
+        time_point first_report_at;
         bool up = true;
         bool cut = false;     ///< disconnected from the leader; callers still reach it
         bool leaving = false; ///< has announced that it drains
@@ -92,6 +96,7 @@
         time_point at;      ///< when the upstream carries it out
         time_point arrived; ///< when its lease time starts
         int target = 0;
+        upstream_incarnation process; ///< that ran at the address when it arrived
         call order;
         bool answered = true;
         std::uint64_t manager = 0;
@@ -110,14 +115,30 @@
 
     void start_upstream(int i) {
         auto& it = upstreams_[i];
+        std::string id = it.incarnation.id;
+        if (id.empty() || chance(0.5)) {
+            id = "u" + std::to_string(++started_);
+        }
         it = {};
-        it.incarnation = {std::string("u").append(std::to_string(i)), now_.time_since_epoch().count() / 1000};
+        it.incarnation = {id, now_.time_since_epoch().count() / 1000};
+        it.first_report_at = now_ + random_duration(0, chance(0.2) ? 5000 : 900);
+    }
+
+    void register_upstream(int i) {
+        const auto& it = upstreams_[i];
+        const endpoint_address address{"127.0.0.1", static_cast<std::uint16_t>(first_port + i)};
         directory::command change;
-        change.upstreams.push_back(
-            {it.incarnation, "s", "d", {"127.0.0.1", static_cast<std::uint16_t>(1000 + i)}, 2});
+        for (const auto& [id, known] : state_.upstreams) {
+            if (known.address == address && id != it.incarnation.id) {
+                change.removed_upstreams.push_back(id);
+            }
+        }
+        change.upstreams.push_back({it.incarnation, "s", "d", address, 2});
         state_ = directory::apply(state_, change, state_.index + 1);
     }
 
+    bool is_registered(int i) const { return state_.find(upstreams_[i].incarnation) != nullptr; }
+
     /// The upstream announces that it drains, serves what it holds for some seconds, and ends.
     void drain_upstream(int i) {
         auto& it = upstreams_[i];
@@ -148,7 +169,10 @@
                 it.held.clear();
                 it.back_at = now_ + random_duration(500, 6000);
             }
-            if (faults_ && it.up && !it.leaving && chance(0.001)) {
+            if (it.up && !it.cut && !is_registered(i) && now_ >= it.first_report_at) {
+                register_upstream(i);
+            }
+            if (faults_ && it.up && !it.leaving && is_registered(i) && chance(0.001)) {
                 drain_upstream(i);
             }
             if (faults_ ? chance(0.002) : it.cut) {
@@ -177,8 +201,9 @@
     }
 
     void announce_upstreams() {
-        for (const auto& it : upstreams_) {
-            if (it.up && !it.cut) {
+        for (int i = 0; i < upstream_count; ++i) {
+            const auto& it = upstreams_[i];
+            if (it.up && !it.cut && is_registered(i)) {
                 conditions_[it.incarnation.id].last_announced = now_;
             }
         }
@@ -216,8 +241,8 @@
     }
 
     void send(const call& order) {
-        const int target = order.target.id.back() - '0';
-        auto& it = upstreams_[target];
+        const int target = order.address.port - first_port;
+        const auto& it = upstreams_[target];
         if (!it.up || it.cut || (faults_ && chance(0.02))) {
             outcomes_.push_back(
                 {now_ + random_duration(100, 700), manager_number_, order.id, call_result::not_sent});
@@ -228,13 +253,14 @@
             // Unanswered: it may be carried out seconds later, but its lease time starts at its arrival.
             const duration timeout = std::chrono::milliseconds(700);
             if (chance(0.7)) {
-                deliveries_.push_back({now_ + random_duration(2000, 12000), now_ + delay, target, order,
-                                       false, manager_number_});
+                deliveries_.push_back({now_ + random_duration(2000, 12000), now_ + delay, target,
+                                       it.incarnation, order, false, manager_number_});
             }
             outcomes_.push_back({now_ + timeout, manager_number_, order.id, call_result::unanswered});
             return;
         }
-        deliveries_.push_back({now_ + delay, now_ + delay, target, order, true, manager_number_});
+        deliveries_.push_back(
+            {now_ + delay, now_ + delay, target, it.incarnation, order, true, manager_number_});
     }
 
     void deliver() {
@@ -245,27 +271,29 @@
             }
             const delivery it = deliveries_[i];
             deliveries_.erase(deliveries_.begin() + static_cast<std::ptrdiff_t>(i));
-            const bool done = carry_out(it);
+            const call_result result = carry_out(it);
             if (it.answered) {
-                outcomes_.push_back({now_ + random_duration(1, 60), it.manager, it.order.id,
-                                     done ? call_result::done : call_result::refused});
+                outcomes_.push_back({now_ + random_duration(1, 60), it.manager, it.order.id, result});
             }
         }
     }
 
-    bool carry_out(const delivery& it) {
+    call_result carry_out(const delivery& it) {
         auto& target = upstreams_[it.target];
-        if (!target.up || target.incarnation != it.order.target) {
-            return false;
-        }
         const call& order = it.order;
+        if (!target.up || target.incarnation != it.process) {
+            return call_result::unanswered;
+        }
+        if (target.incarnation.id != order.target.id) {
+            return call_result::wrong_upstream; // an upstream cannot tell which incarnation was meant
+        }
         const auto overlap = [&](const held_range& h) {
             return h.first <= order.last && h.last >= order.first;
         };
         if (order.kind == call_kind::grant) {
             for (const auto key : samples) {
                 if (key >= order.first && key <= order.last && target.highest_epochs[key] > order.epoch) {
-                    return false;
+                    return call_result::refused;
                 }
             }
             for (const auto key : samples) {
@@ -276,7 +304,7 @@
             target.held.push_back(
                 {order.first, order.last, order.epoch,
                  it.arrived + std::chrono::duration_cast<duration>(order.lease_time * slow_clock)});
-            return true;
+            return call_result::done;
         }
         std::vector<held_range> kept;
         for (const auto& h : target.held) {
@@ -292,7 +320,7 @@
             }
         }
         target.held = std::move(kept);
-        return true;
+        return call_result::done;
     }
 
     int owner_count(key_number key) const {
@@ -323,6 +351,7 @@
     std::array<simulated_upstream, upstream_count> upstreams_;
     std::unique_ptr<lease_manager> manager_;
     std::uint64_t manager_number_ = 0;
+    int started_ = 0; ///< upstreams that started under a new id
     std::map<std::string, upstream_condition> conditions_;
     std::map<std::string, key_loads> loads_;
     std::vector<std::pair<time_point, directory::command>> commands_;
