Control instances: input that cannot be read ends no process

Cause: the JSON library's error quotes the document. The text went into the error answer, and writing that answer as JSON threw an exception outside of the handler for bad input, on the control thread.

Related: a peer whose name is no address, and an order that cannot be decoded, threw past the connection that received them; they now close it. The name in the tests of the control node is an address, as real names are.

--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -1,5 +1,6 @@
 #include "router/control_links.h"
 
+#include "router/instance_name.h"
 #include "router/limit_codec.h"
 #include "router/link_settings.h"
 
@@ -79,6 +80,12 @@
 
 void control_links::on_status(const std::string& name, const std::string& payload) {
     const auto status = decode<wire::ControlStatus>(payload);
+    for (const auto& it : status.control_instances) {
+        parse_instance_name(it);
+    }
+    for (const auto& it : status.entries) {
+        parse_instance_name(it.name);
+    }
     control_instances_[name] = {status.leads, status.term, true};
     for (const auto& it : status.control_instances) {
         dial(it);
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -2,6 +2,7 @@
 
 #include "app/instance/control_context.h"
 #include "router/control_orders.h"
+#include "router/instance_name.h"
 #include "router/link_settings.h"
 #include "router/load_decay.h"
 
@@ -142,6 +143,7 @@
 void control_node::on_join(const std::shared_ptr<transport::connection>& from,
                            const wire::JoinRequest& request) {
     const std::string& name = from->peer().id.name;
+    parse_instance_name(name); // entries connect to the instances that the status names
     if (request.wants_vote) {
         spares_[from->peer().id] = steady_now();
         dial(name);
--- a/src/router/control_node_orders.cpp
+++ b/src/router/control_node_orders.cpp
@@ -19,6 +19,15 @@
 constexpr duration forward_timeout =
     std::chrono::milliseconds(800); ///< upstreams and operators give up after 1 s
 
+/// @throws transport::malformed_frame
+directory::command decode_order(const std::string& payload) {
+    try {
+        return directory::decode_command(payload);
+    } catch (const invalid_input& e) {
+        throw transport::malformed_frame(e.what());
+    }
+}
+
 } // namespace
 
 bool control_node::is_stale(const announcement& report) {
@@ -175,7 +184,7 @@
         depart(order.payload, accepted);
         break;
     case order_configure:
-        if (auto change = directory::decode_command(order.payload); change.config) {
+        if (auto change = decode_order(order.payload); change.config) {
             accept_configuration(std::move(*change.config), accepted);
         } else {
             accepted(false);
--- a/tests/platform/entry_processes.h
+++ b/tests/platform/entry_processes.h
@@ -60,6 +60,10 @@
         http_caller caller;
         return caller.send("PUT", control_, "/instances/" + id, body).status;
     }
+    int configuration_status(const std::string& body) {
+        http_caller caller;
+        return caller.send("PUT", control_, "/config", body).status;
+    }
     child_process& control() { return *control_process_; }
     child_process& entry(std::size_t n = 0) { return *processes_.at(n); }
 
--- a/tests/platform/odd_report_test.cpp
+++ b/tests/platform/odd_report_test.cpp
@@ -53,6 +53,17 @@
     SUBCASE("a number with an exponent") {
         body = report_with("127.0.0.1:80", "1e400", "1");
     }
+    // Guards against an answer that quotes the report: no JSON can hold its bytes, and writing it ended the
+    // process (review case 4).
+    SUBCASE("a byte that is not UTF-8 in a text") {
+        body = "{\"address\":\"\xff\"}";
+    }
+    SUBCASE("a byte that is not UTF-8 outside of a text") {
+        body = "\xc3\x28";
+    }
+    SUBCASE("a text that ends within a character") {
+        body = "{\"address\":\"\xe2\x82";
+    }
     SUBCASE("deeply nested lists") {
         body = report_with("127.0.0.1:80", nested("[", "]", depth), "1");
     }
@@ -68,4 +79,14 @@
     CHECK(it.control().running());
 }
 
+// Guards against an answer that quotes the configuration, see above.
+TEST_CASE("a configuration whose bytes are no UTF-8 is refused and ends no process") {
+    entry_processes it([](const raw_server::connection_ptr&, int) {});
+    for (const char* body : {"{\"version\":\"\xff\"}", "\x80", "[\"\xf0\x9f\"]", "{\"\xed\xa0\x80\":1}"}) {
+        CHECK(it.configuration_status(body) == 400);
+    }
+    it.run_for(milliseconds(300));
+    CHECK(it.control().running());
+}
+
 } // namespace kingcupseam::platform::test
--- a/tests/router/control_node_test.cpp
+++ b/tests/router/control_node_test.cpp
@@ -6,6 +6,7 @@
 #include <directory_types.h>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -32,7 +33,8 @@
 /// An entry's link to the control instance, which counts the statuses that it gets.
 class fake_entry {
 public:
-    fake_entry(asio::io_context& context, const std::string& name, const process_settings& to)
+    fake_entry(asio::io_context& context, const std::string& name, const process_settings& to,
+               bool wants_vote = false)
         : link_(context, {to.ip, to.peer_port}, {{name, 1}, "d"}, control_link_settings(),
                 [this](const auto&, const transport::frame& received) {
                     if (received.type == frame_type::control_status) {
@@ -40,12 +42,16 @@
                         last = transport::decode<wire::ControlStatus>(received.payload);
                     }
                 }) {
-        link_.on_state_change([this](bool up) {
+        link_.on_state_change([this, wants_vote](bool up) {
             if (up) {
-                link_.notify({frame_type::join_request, 0, transport::encode(wire::JoinRequest())});
+                wire::JoinRequest join;
+                join.wants_vote = wants_vote;
+                link_.notify({frame_type::join_request, 0, transport::encode(join)});
             }
         });
     }
+    void send(frame_type type, std::string payload) { link_.notify({type, 0, std::move(payload)}); }
+    bool up() const { return link_.up(); }
     /// Reports a request that was in progress when @p upstream crashed.
     void report_crash(std::int64_t digest, const std::string& upstream) {
         wire::LoadReport report;
@@ -73,7 +79,7 @@
     const test::temporary_folder folder;
     const auto settings = settings_of(folder);
     control_node node(context, settings, [](const auto&, const auto&) {});
-    fake_entry entry(context, "entry", settings);
+    fake_entry entry(context, "127.0.0.1:1", settings);
     const auto run_until = [&](const std::function<bool()>& condition) {
         const time_point end = steady_now() + std::chrono::seconds(10);
         while (!condition() && steady_now() < end) {
@@ -105,4 +111,53 @@
     }
 }
 
+// Guards against frames that end the control instance which reads them, as reports did (review case 4).
+TEST_CASE("a frame whose content cannot be read ends its connection and no process") {
+    asio::io_context context;
+    const test::temporary_folder folder;
+    const auto settings = settings_of(folder);
+    control_node node(context, settings, [](const auto&, const auto&) {});
+    const auto run_until = [&](const std::function<bool()>& condition) {
+        const time_point end = steady_now() + std::chrono::seconds(10);
+        while (!condition() && steady_now() < end) {
+            context.run_for(milliseconds(10));
+            context.restart();
+        }
+        return condition();
+    };
+    const std::string good_name = "127.0.0.1:1";
+    fake_entry sound(context, good_name, settings);
+    REQUIRE(run_until([&] { return sound.last.leads && sound.last.entries.size() == 1; }));
+    wire::ControlOrder order;
+    constexpr std::int8_t configure = 3;
+    constexpr std::int8_t announce = 1;
+
+    SUBCASE("names that are no addresses") {
+        for (const char* name : {"entry", "entry:80", "127.0.1:80", "127.0.0.1:99999", "\xff:1"}) {
+            for (const bool wants_vote : {false, true}) {
+                fake_entry other(context, name, settings, wants_vote);
+                REQUIRE_NOTHROW(context.run_for(milliseconds(100)));
+                context.restart();
+                CHECK(other.statuses == 0);
+            }
+        }
+    }
+    SUBCASE("orders with other bytes") {
+        for (const std::int8_t kind : {configure, announce}) {
+            for (const char* payload : {"", "\xff\xff\xff", "{}"}) {
+                fake_entry other(context, good_name, settings);
+                REQUIRE(run_until([&] { return other.up(); }));
+                order.kind = kind;
+                order.payload = payload;
+                other.send(frame_type::control_order, transport::encode(order));
+                REQUIRE_NOTHROW(context.run_for(milliseconds(100)));
+                context.restart();
+            }
+        }
+    }
+    CHECK(sound.up());
+    CHECK(std::all_of(sound.last.entries.begin(), sound.last.entries.end(),
+                      [&](const auto& it) { return it.name == good_name; }));
+}
+
 } // namespace kingcupseam::router
