Entries: count the result of an attempt for its own incarnation only

What callers saw: nothing reported. Broken connections of the former one could eject the new one, and answers were passed on as the new one's.

Cause: the queue of an attempt was found by the id alone. An attempt now remembers the incarnation that it was sent to.

--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -253,6 +253,7 @@
     ++it->possible_runs;
     it->sent_at = now;
     it->upstream = queue.target().incarnation.id;
+    it->sent_to = queue.target().incarnation;
     slot_usage_.on_sent(now - it->arrived);
     queue.on_sent(now);
     exchange request;
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -180,6 +180,9 @@
     void remove(const request_ptr& it);
     /// True for a poison request that the leader has refused.
     bool is_refused_poison_request(const request_ptr& it) const;
+    /// Queue of the upstream that the attempt was sent to; null once it has ended or started again: the
+    /// result says nothing about a new incarnation.
+    upstream_queue* queue_of_attempt(const request_ptr& it);
     /// Records the end of an attempt for the log of slot usage.
     void record_slot_use(const request_ptr& it, bool answered);
     void report_crashes();
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -35,8 +35,8 @@
 } // namespace
 
 void dispatcher::on_exchange(const request_ptr& it, exchange_result result) {
-    const auto found = queues_.find(it->upstream);
-    upstream_queue* const from = found == queues_.end() ? nullptr : found->second.get();
+    upstream_queue* const from = queue_of_attempt(it);
+    const std::string sent_to = it->sent_to.id;
     record_slot_use(it, result.end == exchange_end::answered && result.answer.status / 100 == 2);
     if (result.end == exchange_end::answered) {
         it->used_connections.push_back(result.connection);
@@ -58,8 +58,7 @@
         on_failure(it, result.end);
     }
     // The queue may have been removed while the answer was handled.
-    if (const auto again = queues_.find(found == queues_.end() ? std::string() : found->first);
-        again != queues_.end()) {
+    if (const auto again = queues_.find(sent_to); again != queues_.end()) {
         send_queued(*again->second);
     }
 }
@@ -113,9 +112,7 @@
             return;
         }
     }
-    if (from != nullptr) {
-        it->answered_by = from->target().incarnation;
-    }
+    it->answered_by = it->sent_to;
     finish(it, protocol_.write_answer(std::move(answer)), "answered");
 }
 
@@ -181,12 +178,18 @@
     client_.cancel(it->exchange_id);
     it->exchange_id = 0;
     record_slot_use(it, false);
-    if (const auto found = queues_.find(it->upstream); found != queues_.end()) {
-        record_overdue(it, *found->second);
-        send_queued(*found->second);
+    if (upstream_queue* const queue = queue_of_attempt(it)) {
+        record_overdue(it, *queue);
+        send_queued(*queue);
     }
 }
 
+upstream_queue* dispatcher::queue_of_attempt(const request_ptr& it) {
+    const auto found = queues_.find(it->sent_to.id);
+    return found != queues_.end() && found->second->target().incarnation == it->sent_to ? found->second.get()
+                                                                                        : nullptr;
+}
+
 void dispatcher::record_slot_use(const request_ptr& it, bool answered) {
     const time_point now = steady_now();
     const bool late = now - it->arrived > it->route.target_latency;
--- a/src/router/in_flight_request.h
+++ b/src/router/in_flight_request.h
@@ -46,6 +46,7 @@
     std::uint64_t exchange_id = 0;
     std::vector<std::uint64_t> used_connections; ///< those that carried an answered attempt
     std::string upstream;                        ///< id of the upstream that it is sent to or queued for
+    directory::upstream_incarnation sent_to;     ///< of the current attempt
     std::string last_failed_upstream;            ///< id of the upstream of the last failed attempt
     directory::upstream_incarnation answered_by; ///< once an upstream has answered; else its id is empty
     time_point sent_at;
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -314,4 +314,39 @@
     }
 }
 
+// Guards against results of attempts that are counted for another incarnation under the same id (review case
+// 1 has the same cause): the callers of an upstream that has just started again were refused.
+TEST_CASE(
+    "an attempt that ends after its upstream has started again says nothing about the new incarnation") {
+    std::function<void()> restart;
+    harness it([&](const http_request& request) -> std::optional<http_response> {
+        restart();
+        return signed_answer(request);
+    });
+    restart = [&] { it.configure(true, 4, harness::first_port, 2); };
+    it.configure(true);
+    fake_gates gates;
+    gates.gate.clear();
+    it.under_test.set_gates(&gates);
+    router::routed_request request;
+    request.request.id = "id-1";
+    request.request.method = "GET";
+    request.request.target = "/safe/1";
+    request.request.host = "h";
+    request.request.key = 5;
+    request.request.headers = {{"Host", "h"}, {"X-Request-Id", "id-1"}};
+    request.service = "s";
+    request.time_left = milliseconds(800);
+    request.target_time_left = milliseconds(300);
+    directory::upstream_incarnation answered_by;
+    REQUIRE(it.under_test.handle_routed(request, 1000, 3,
+                                        [&](http_response answer, const directory::upstream_incarnation& by) {
+                                            it.answer = std::move(answer);
+                                            answered_by = by;
+                                        }));
+    it.run_until([&] { return it.answer.has_value(); });
+    CHECK(answered_by == directory::upstream_incarnation{"u", 1});
+    CHECK(it.under_test.take_report().upstreams.empty());
+}
+
 } // namespace kingcupseam::platform::test
