Entries: bound unfinished answers by the machine's memory

What callers would see: upstreams that send without end make an entry exceed its memory, and the requests of all its callers end with it. Here: 192 MB at an entry with four such upstreams of six (users' measurement), on machines of 160 to 260 MB.

Cause: the bound, 32 MiB of bodies, did not follow the machine, and the allocator kept about as much again of freed buffers: it adapts its limit for separate mappings to up to 32 MiB. Ruled out by measuring: heads, trailers, interim answers and other bytes, which stay at 18 to 21 MB.

Unfinished answers now take up an eighth of the machine's memory, 4 MB to 32 MiB (setting memory_mb, by default the kernel's figure), and buffers of 1 MiB and more go back to the system when they are freed. Control instances accept 1 MiB of answers to their grants and releases.

--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -3,6 +3,7 @@
 #include "app/http_server.h"
 #include "app/worker.h"
 #include "router/control_node.h"
+#include "router/memory_limits.h"
 #include "router/metrics_server.h"
 #include "router/seed_watcher.h"
 #include "router/upstream_client.h"
@@ -20,6 +21,8 @@
 constexpr duration grant_timeout = std::chrono::milliseconds(700);
 // A release is answered when no request runs on its keys any more.
 constexpr duration release_timeout = std::chrono::seconds(3);
+// Answers to grants and releases have a few headers and no body.
+constexpr std::size_t max_call_answers = std::size_t{1024} * 1024;
 // Enough for a configuration with some thousand routes.
 constexpr std::size_t max_order_bytes = std::size_t{8} * 1024 * 1024;
 
@@ -58,6 +61,12 @@
     return key_ranges::call_result::unanswered;
 }
 
+upstream_client_options call_client_options() {
+    upstream_client_options result;
+    result.max_answer_bytes = max_call_answers;
+    return result;
+}
+
 class control_process {
 public:
     control_process(const settings_source& read_settings, const protocol_adapter& protocol);
@@ -71,7 +80,7 @@
     const protocol_adapter& protocol_;
     app::worker control_;
     app::worker traffic_;
-    upstream_client client_{traffic_.io, {}};
+    upstream_client client_{traffic_.io, call_client_options()};
     std::unique_ptr<control_node> node_;
     metrics::registry registry_;
     std::unique_ptr<app::http_server> server_;
@@ -148,6 +157,7 @@
 } // namespace
 
 void run_control(const settings_source& read_settings, const protocol_adapter& protocol) {
+    return_large_buffers();
     control_process(read_settings, protocol).run();
 }
 
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -29,10 +29,19 @@
 
 } // namespace
 
+upstream_client_options dispatcher::client_options(const protocol_adapter& protocol,
+                                                   const dispatcher_options& settings) {
+    upstream_client_options result;
+    result.id_header = protocol.id_header();
+    result.max_answer_bytes = settings.max_answer_bytes;
+    return result;
+}
+
 dispatcher::dispatcher(asio::io_context& context, const protocol_adapter& protocol,
                        dispatcher_options settings, metrics::registry& registry)
     : context_(context), protocol_(protocol), settings_(std::move(settings)), registry_(registry),
-      client_(context, {protocol.id_header()}), directory_(std::make_shared<const directory::snapshot>()) {}
+      client_(context, client_options(protocol, settings_)),
+      directory_(std::make_shared<const directory::snapshot>()) {}
 
 dispatcher::~dispatcher() = default;
 
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -29,6 +29,8 @@
 struct dispatcher_options {
     std::string data_center; ///< data centre of this entry
     retry_budget_options retries;
+    /// Bytes of the body of one answer, and of all unfinished answers together.
+    std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
     /// Longest wait for a key that has no owner at the moment; a handover takes about as long as a request.
     duration max_owner_wait = std::chrono::milliseconds(600);
     /// A new owner may not have received its grant yet: for this time after a directory update, a key that
@@ -112,6 +114,8 @@
     struct in_flight_request;
     using request_ptr = std::shared_ptr<in_flight_request>;
 
+    static upstream_client_options client_options(const protocol_adapter& protocol,
+                                                  const dispatcher_options& settings);
     void admit(const request_ptr& it);
     /// Fails a request whose headers or body exceed the configured limits.
     /// @returns true when the request has been answered
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -5,6 +5,7 @@
 #include "router/control_links.h"
 #include "router/dispatcher.h"
 #include "router/gate_links.h"
+#include "router/memory_limits.h"
 #include "router/metrics_server.h"
 #include "router/seed_watcher.h"
 
@@ -74,6 +75,7 @@
     options.retries.ratio = settings_.retry_ratio;
     options.retries.slack = settings_.retry_slack;
     options.retries.window = settings_.retry_window;
+    options.max_answer_bytes = max_unfinished_answers(settings_.memory_mb);
     dispatcher_ = std::make_unique<dispatcher>(traffic_.io, protocol, options, registry_);
     make_servers(protocol);
     metrics_ = make_metrics_server(traffic_.io, settings_, registry_);
@@ -207,6 +209,7 @@
 } // namespace
 
 void run_entry(const settings_source& read_settings, const protocol_adapter& protocol) {
+    return_large_buffers();
     entry_process(read_settings, protocol).run();
 }
 
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -2,6 +2,7 @@
 
 #include <kingcupseam/types.h>
 
+#include <cstdint>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -32,6 +33,7 @@
     double retry_ratio = 0.2;                        ///< retries per request of a service
     double retry_slack = 60; ///< retries beyond the ratio in a window, over all entries
     duration retry_window = std::chrono::seconds(10);
+    std::int64_t memory_mb = 0; ///< memory of the machine in 10^6 bytes; 0: as the kernel reports it
     bool operator==(const process_settings&) const = default;
 };
 
--- a/tests/platform/process_settings_test.cpp
+++ b/tests/platform/process_settings_test.cpp
@@ -32,6 +32,7 @@
 retry_ratio = 0.2
 retry_slack = 60
 retry_window = "10s"
+memory_mb = 160
 )";
 
 /// Temporary settings file.
@@ -67,6 +68,7 @@
     CHECK(settings.bootstrap);
     CHECK(settings.announce_interval == std::chrono::milliseconds(870));
     CHECK(settings.retry_ratio == 0.2);
+    CHECK(settings.memory_mb == 160);
 }
 
 TEST_CASE("invalid settings are refused with the name of the key") {
@@ -84,6 +86,7 @@
     CHECK(field_of(replaced(rendered, "10.2.0.43:8166", "10.2.0.43")) == "seeds");
     CHECK(field_of(replaced(rendered, "bootstrap = true", "bootstrap = 1")) == "bootstrap");
     CHECK(field_of(replaced(rendered, "name = \"core-1\"\n", "")) == "name");
+    CHECK(field_of(replaced(rendered, "memory_mb = 160", "memory_mb = -1")) == "memory_mb");
     CHECK(field_of(rendered + "unknown_key = 1\n") == "unknown_key");
     CHECK_THROWS_AS(load_process_settings("/nowhere/settings.toml"), io_error);
 }
--- a/tests/support/process_cluster.h
+++ b/tests/support/process_cluster.h
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -71,6 +72,18 @@
             status_ = -SIGKILL;
         }
     }
+    /// @returns the largest resident memory so far, in bytes; 0 once the process has ended
+    std::size_t peak_memory() const {
+        std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+        const std::string name = "VmHWM:";
+        constexpr std::size_t kilobyte = 1024;
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with(name)) {
+                return std::stoul(line.substr(name.size())) * kilobyte;
+            }
+        }
+        return 0;
+    }
     /// @returns the exit code once the process has ended (negative: the signal), or empty after @p limit
     std::optional<int> wait(duration limit) {
         const auto end = steady_now() + limit;
