--- a/src/transport/stream_connection.cpp
+++ b/src/transport/stream_connection.cpp
@@ -195,7 +195,10 @@
     last_received_ += std::max(now - heartbeat_due_, duration::zero());
     const duration silence = now - last_received_;
     if (silence > std::max(settings_.heartbeat_timeout, settings_.silence_limit)) {
-        // An open connection can stop working while new ones work, so it is closed and dialled again.
+        // An open connection can stop working while new ones work, so it is closed and dialled again. Its
+        // requests fail now, so the peer must not get those that are still in transit.
+        asio::error_code ec;
+        socket_.set_option(asio::socket_base::linger(true, 0), ec);
         fail(false);
         return;
     }
--- a/tests/router/gate_links_test.cpp
+++ b/tests/router/gate_links_test.cpp
@@ -3,8 +3,12 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <functional>
+#include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace kingcupseam::router {
 
@@ -18,8 +22,12 @@
 class test_entry {
 public:
     test_entry(asio::io_context& context, const std::string& data_center)
-        : address{"127.0.0.1", test::free_port()},
-          links(context, {{to_string(address), 1}, data_center}, address, callbacks()) {}
+        : test_entry(context, data_center, {"127.0.0.1", test::free_port()}) {}
+    /// @param known_as address at which other entries reach it
+    test_entry(asio::io_context& context, const std::string& data_center, const endpoint_address& known_as,
+               const std::optional<endpoint_address>& listen = {})
+        : address(known_as),
+          links(context, {{to_string(address), 1}, data_center}, listen.value_or(address), callbacks()) {}
 
     struct received {
         routed_request request;
@@ -46,6 +54,88 @@
     }
 };
 
+/// Forwards connections to an entry, and can hold up what they carry to it.
+class slow_link {
+public:
+    slow_link(asio::io_context& context, const endpoint_address& listen, endpoint_address target)
+        : context_(context), target_(std::move(target)),
+          acceptor_(context, {asio::ip::make_address(listen.ip), listen.port}) {
+        accept();
+    }
+    void hold() { held_ = true; }
+    void release() {
+        held_ = false;
+        for (const auto& it : connections_) {
+            forward(it);
+        }
+    }
+
+private:
+    struct connection {
+        explicit connection(asio::io_context& context) : dialler(context), target(context) {}
+        asio::ip::tcp::socket dialler;
+        asio::ip::tcp::socket target;
+        std::array<char, 4096> to_target{};
+        std::array<char, 4096> to_dialler{};
+        std::string waiting;
+    };
+    using connection_ptr = std::shared_ptr<connection>;
+
+    void accept() {
+        auto next = std::make_shared<connection>(context_);
+        acceptor_.async_accept(next->dialler, [this, next](const asio::error_code& ec) {
+            if (ec) {
+                return;
+            }
+            asio::error_code failed;
+            next->target.connect({asio::ip::make_address(target_.ip), target_.port}, failed);
+            if (!failed) {
+                connections_.push_back(next);
+                read_dialler(next);
+                read_target(next);
+            }
+            accept();
+        });
+    }
+    void read_dialler(const connection_ptr& it) {
+        it->dialler.async_read_some(asio::buffer(it->to_target),
+                                    [this, it](const asio::error_code& ec, std::size_t n) {
+                                        if (!ec) {
+                                            it->waiting.append(it->to_target.data(), n);
+                                            forward(it);
+                                            read_dialler(it);
+                                        } else if (ec == asio::error::connection_reset) {
+                                            // A reset discards what is in transit.
+                                            it->waiting.clear();
+                                            it->target.close();
+                                        }
+                                    });
+    }
+    void forward(const connection_ptr& it) const {
+        if (!held_ && !it->waiting.empty()) {
+            asio::error_code ec;
+            asio::write(it->target, asio::buffer(it->waiting), ec);
+            it->waiting.clear();
+        }
+    }
+    void read_target(const connection_ptr& it) {
+        it->target.async_read_some(
+            asio::buffer(it->to_dialler), [this, it](const asio::error_code& ec, std::size_t n) {
+                if (!ec) {
+                    asio::error_code failed;
+                    asio::write(it->dialler, asio::buffer(it->to_dialler.data(), n), failed);
+                    read_target(it);
+                }
+            });
+    }
+
+    asio::io_context& context_;
+    endpoint_address target_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<connection_ptr> connections_;
+    bool held_ = false;
+};
+
 directory::upstream upstream(const std::string& id, const std::string& data_center) {
     return {{id, 1}, "s", data_center, {"127.0.0.1", 1}, 2, false, false};
 }
@@ -228,4 +318,76 @@
     }
 }
 
+// Guards against work for callers that have left (issue 34, GONE): the link to the gate was held up for 3.8
+// s, and the gate then gave the request all the time that it had when it was sent.
+TEST_CASE("a gate does not accept a request whose time passed on the link") {
+    asio::io_context context;
+    const endpoint_address gate_address{"127.0.0.1", test::free_port()};
+    const endpoint_address gate_listens{"127.0.0.1", test::free_port()};
+    test_entry local(context, "north");
+    test_entry gate(context, "south", gate_address, gate_listens);
+    slow_link link(context, gate_address, gate_listens);
+    local.links.set_entries({{to_string(local.address), "north"}, {to_string(gate.address), "south"}});
+    const auto run_for = [&](duration time) {
+        context.run_for(time);
+        context.restart();
+    };
+    const auto run_until = [&](const std::function<bool()>& condition) {
+        const time_point end = steady_now() + max_test_time;
+        while (!condition() && steady_now() < end) {
+            run_for(milliseconds(5));
+        }
+        return condition();
+    };
+    std::vector<routed_result> results;
+    const auto forward = [&](duration time_left) {
+        auto request = make_request();
+        request.time_left = time_left;
+        return local.links.forward(to_string(gate.address), request, milliseconds(3000),
+                                   [&](routed_result it) { results.push_back(std::move(it)); });
+    };
+    local.links.gate_of(upstream("u", "south"));
+    REQUIRE(run_until([&] { return !local.links.gate_of(upstream("u", "south")).empty(); }));
+    forward(milliseconds(2900));
+    REQUIRE(run_until([&] { return gate.requests.size() == 1; }));
+    gate.requests.front().reply({200, {}, {}, false}, {"u", 1});
+    REQUIRE(run_until([&] { return results.size() == 1; }));
+    link.hold();
+
+    SUBCASE("the time on the link is not given to the upstream again") {
+        forward(milliseconds(2900));
+        run_for(milliseconds(300));
+        link.release();
+        REQUIRE(run_until([&] { return gate.requests.size() == 2; }));
+        CHECK(gate.requests.back().request.time_left <= milliseconds(2600));
+        CHECK(gate.requests.back().request.target_time_left <= milliseconds(-340));
+    }
+    SUBCASE("a request whose deadline has passed is not accepted") {
+        forward(milliseconds(200));
+        run_for(milliseconds(300));
+        link.release();
+        REQUIRE(run_until([&] { return results.size() == 2; }));
+        CHECK(results.back().end == routed_end::not_accepted);
+        CHECK(gate.requests.size() == 1);
+    }
+    SUBCASE("a request that its sender has withdrawn meanwhile is not accepted") {
+        const auto number = forward(milliseconds(2900));
+        run_for(milliseconds(300));
+        local.links.withdraw(to_string(gate.address), number);
+        run_for(milliseconds(400));
+        link.release();
+        run_for(milliseconds(200));
+        CHECK(gate.requests.size() == 1);
+    }
+    SUBCASE("a request is not delivered any more once its link is given up") {
+        forward(milliseconds(4900));
+        REQUIRE(run_until([&] { return results.size() == 2; }));
+        CHECK(results.back().end == routed_end::lost);
+        run_for(milliseconds(500));
+        link.release();
+        run_for(milliseconds(200));
+        CHECK(gate.requests.size() == 1);
+    }
+}
+
 } // namespace kingcupseam::router
