Leases: release the range of an unregistered owner at once

Where another upstream takes over an address, the keys of the former one waited for up to 3 s.

Cause: the release was held back until the next renewal was due. It has a time of its own now, set only after an unsuccessful release.

Evidence: "an id that is removed is released at its address before its keys move" now begins right after a renewal, and failed before the change.

--- a/include/kingcupseam/key_ranges.h
+++ b/include/kingcupseam/key_ranges.h
@@ -177,12 +177,13 @@
         time_point next_call;
         std::uint64_t open_call = 0;    ///< 0 when no grant is in progress
         std::uint64_t open_release = 0; ///< release of all keys of an unregistered owner; 0 when none
-        int failed_calls = 0;           ///< failed grants in a row
-        bool unreachable = false;       ///< the last call could not be sent
-        bool reassigning = false;       ///< a reassignment was proposed; not renewed any more
-        std::vector<move_part> parts;   ///< being moved; not renewed meanwhile
-        std::string handover;           ///< for the first grant
-        duration requested_time{};      ///< lease time of the last grant that was sent
+        time_point next_release;
+        int failed_calls = 0;         ///< failed grants in a row
+        bool unreachable = false;     ///< the last call could not be sent
+        bool reassigning = false;     ///< a reassignment was proposed; not renewed any more
+        std::vector<move_part> parts; ///< being moved; not renewed meanwhile
+        std::string handover;         ///< for the first grant
+        duration requested_time{};    ///< lease time of the last grant that was sent
 
         time_point may_hold_until() const;
         /// Whether only answered grants of this epoch can be in effect: an answered release then ends the
--- a/src/key_ranges/lease_manager.cpp
+++ b/src/key_ranges/lease_manager.cpp
@@ -293,7 +293,7 @@
 void lease_manager::release_unregistered(const std::string& service, lease& held, time_point now,
                                          effects& out) {
     const bool can_be_ended = held.answered_until > now && held.address.port != 0;
-    if (!can_be_ended || held.open_call != 0 || held.open_release != 0 || now < held.next_call) {
+    if (!can_be_ended || held.open_call != 0 || held.open_release != 0 || now < held.next_release) {
         return;
     }
     held.open_release = next_call_id_++;
--- a/src/key_ranges/lease_manager_results.cpp
+++ b/src/key_ranges/lease_manager_results.cpp
@@ -30,7 +30,7 @@
     }
     if (held->open_release == call_id) {
         held->open_release = 0;
-        held->next_call = now + settings_.retry_delay;
+        held->next_release = now + settings_.retry_delay;
         if (result == call_result::done || result == call_result::wrong_upstream) {
             held->answered_until = {}; // only unanswered grants can still take effect
         }
--- a/tests/key_ranges/lease_manager_test.cpp
+++ b/tests/key_ranges/lease_manager_test.cpp
@@ -282,11 +282,22 @@
         CHECK(leader.state.range_of("s", 0)->owner == restart.upstreams.back().incarnation);
     }
     SUBCASE("an id that is removed is released at its address before its keys move") {
+        const time_point until = leader.now + std::chrono::seconds(4);
+        leader.grants.clear();
+        const auto is_renewed = [&] {
+            return std::any_of(leader.grants.begin(), leader.grants.end(),
+                               [](const auto& it) { return it.second.target.id == "u0"; });
+        };
+        while (!is_renewed() && leader.now < until) {
+            leader.run(std::chrono::milliseconds(50));
+        }
+        REQUIRE(is_renewed());
         directory::command removal;
         removal.removed_upstreams.push_back("u0");
         leader.apply(removal);
         leader.answers_releases = false;
-        const auto releases = leader.run(std::chrono::seconds(1));
+        // At once, although no renewal is due for seconds: the keys have no owner meanwhile.
+        const auto releases = leader.run(std::chrono::milliseconds(100));
         REQUIRE(releases.size() == 1);
         CHECK(releases.front().address == restart.upstreams.back().address);
         CHECK(leader.state.range_of("s", 0)->owner.id == "u0");
