Gates: take back the stamps on forwarded requests, keep the reset

Reverts but for the reset of silent links.

The reset stands: "a request is not delivered any more once its link is given up" failed before it.

--- a/idl/routing.thrift
+++ b/idl/routing.thrift
@@ -26,10 +26,6 @@
   13: binary body
   // Number of entries that have forwarded the request, including the one that received it from the caller.
   14: i32 hops
-  // What the sender estimates that the gate's clock showed as it sent the request, never later; 0 if unknown.
-  15: i64 sent_at_us
-  // Part of the caller's time that the sender has set aside for the way to the gate and back.
-  16: i64 link_time_us
 }
 
 struct RoutedReply {
@@ -43,8 +39,6 @@
   // Incarnation of the upstream that gave the answer; an empty id for an answer of the gate itself.
   6: string upstream_id
   7: i64 upstream_started_ms
-  // The gate's clock as it sent this reply.
-  8: i64 clock_us
 }
 
 // Cancels the request that was sent with this correlation number on the same link.
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -44,8 +44,7 @@
     out.hops = it->hops + 1;
     // The gate's answer has to be here in time.
     const duration_estimate& links = link_times_[it->gate];
-    out.link_time = std::min(links.upper(), (it->deadline - now) / 2);
-    out.time_left = it->deadline - now - out.link_time;
+    out.time_left = it->deadline - now - std::min(links.upper(), (it->deadline - now) / 2);
     out.target_time_left = it->arrived + it->route.target_latency - now - links.mean();
     it->upstream = queue.target().incarnation.id;
     it->sent_at = now;
@@ -53,7 +52,7 @@
     start_deadline_timer(it, limit);
     // This entry withdraws the request at its own limit, before the link gives it up.
     it->gate_request_number =
-        gates_->forward(it->gate, std::move(out), limit + link_reserve, [this, it](routed_result result) {
+        gates_->forward(it->gate, out, limit + link_reserve, [this, it](routed_result result) {
             it->gate_request_number = 0;
             if (requests_.contains(it->id)) {
                 on_routed(it, std::move(result));
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -17,12 +17,6 @@
 
 // Links are numbered from here, so that they differ from callers' connections, which have low numbers.
 constexpr std::uint64_t first_link_connection = std::uint64_t{1} << 62;
-// The caller of a request that was on the link for longer may have left without the gate knowing it.
-constexpr duration max_transit_time = std::chrono::milliseconds(500);
-
-std::int64_t milliseconds(duration value) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
 
 } // namespace
 
@@ -89,9 +83,6 @@
 void gate_links::on_link_state(const std::string& name, bool up) {
     spdlog::info("gate {} name={}", up ? "reached" : "lost", name);
     if (!links_.at(name)->silent()) {
-        if (!up) {
-            clocks_.erase(name); // the gate may come back with another clock
-        }
         return; // up, or closed, which ends the pending requests
     }
     const auto pending = std::exchange(repeatable_[name], {});
@@ -101,11 +92,10 @@
     }
 }
 
-std::uint64_t gate_links::forward(const std::string& gate, routed_request request, duration limit,
+std::uint64_t gate_links::forward(const std::string& gate, const routed_request& request, duration limit,
                                   on_end done) {
     const bool repeatable = request.runs == execution::idempotent;
     const auto number = std::make_shared<std::uint64_t>(0);
-    request.sent_at = clocks_[gate].at(steady_now());
     *number =
         links_.at(gate)->request({frame_type::routed_request, 0, encode(request)}, limit,
                                  [this, gate, repeatable, number, done](const transport::reply& it) {
@@ -113,9 +103,7 @@
                                          repeatable_[gate].erase(*number);
                                      }
                                      if (it.answer && it.answer->type == frame_type::routed_reply) {
-                                         auto result = decode_routed_result(it.answer->payload);
-                                         add_clock_sample(gate, result.clock);
-                                         done(std::move(result));
+                                         done(decode_routed_result(it.answer->payload));
                                          return;
                                      }
                                      const bool not_sent =
@@ -128,12 +116,6 @@
     return *number;
 }
 
-void gate_links::add_clock_sample(const std::string& gate, time_point shown) {
-    if (shown > time_point{}) {
-        clocks_[gate].add(shown, steady_now());
-    }
-}
-
 void gate_links::withdraw(const std::string& gate, std::uint64_t number) {
     const auto known = links_.find(gate);
     if (known == links_.end()) {
@@ -171,30 +153,13 @@
                            app::http_response answer, const directory::upstream_incarnation& answered_by) {
         from->send({frame_type::routed_reply, number,
                     encode(routed_result{routed_end::answered, std::move(answer), steady_now() - arrived,
-                                         answered_by, steady_now()})});
+                                         answered_by})});
     };
-    auto request = decode_routed_request(received.payload);
-    if (!deduct_link_time(request) ||
-        !callbacks_.on_request(std::move(request), connection_number(from), number, reply)) {
-        from->send({frame_type::routed_reply, number,
-                    encode(routed_result{routed_end::not_accepted, {}, {}, {}, steady_now()})});
-    }
-}
-
-bool gate_links::deduct_link_time(routed_request& request) {
-    if (!request.sent_at) {
-        return true;
-    }
-    const duration transit = steady_now() - *request.sent_at;
-    const duration excess = std::max(transit - request.link_time, duration::zero());
-    if (transit > max_transit_time || excess >= request.time_left) {
-        spdlog::info("routed request late id={} transit_ms={} left_ms={}", request.request.id,
-                     milliseconds(transit), milliseconds(request.time_left - excess));
-        return false;
+    if (!callbacks_.on_request(decode_routed_request(received.payload), connection_number(from), number,
+                               reply)) {
+        from->send(
+            {frame_type::routed_reply, number, encode(routed_result{routed_end::not_accepted, {}, {}})});
     }
-    request.time_left -= excess;
-    request.target_time_left -= excess;
-    return true;
 }
 
 } // namespace kingcupseam::router
--- a/src/router/gate_links.h
+++ b/src/router/gate_links.h
@@ -2,7 +2,6 @@
 
 #include "router/gate_assignment.h"
 #include "router/gate_network.h"
-#include "router/peer_clock.h"
 
 #include <kingcupseam/transport.h>
 
@@ -39,7 +38,7 @@
     }
     bool is_gate(const directory::upstream& target) override;
     std::string gate_of(const directory::upstream& target) override;
-    std::uint64_t forward(const std::string& gate, routed_request request, duration limit,
+    std::uint64_t forward(const std::string& gate, const routed_request& request, duration limit,
                           on_end done) override;
     void withdraw(const std::string& gate, std::uint64_t number) override;
 
@@ -50,10 +49,6 @@
     transport::peer_link* link(const std::string& name);
     void on_frame(const connection_ptr& from, const transport::frame& received);
     void on_routed_request(const connection_ptr& from, const transport::frame& received);
-    /// Takes the time that a request spent on the link off the time that it has left.
-    /// @returns false for a request that was on the link for too long to be accepted
-    static bool deduct_link_time(routed_request& request);
-    void add_clock_sample(const std::string& gate, time_point shown);
     std::uint64_t connection_number(const connection_ptr& from);
     void on_link_state(const std::string& name, bool up);
 
@@ -64,7 +59,6 @@
     std::map<std::string, std::unique_ptr<transport::peer_link>> links_;
     /// Pending requests that may run again, by gate and number: they do not wait for a silent gate.
     std::map<std::string, std::map<std::uint64_t, on_end>> repeatable_;
-    std::map<std::string, peer_clock> clocks_;            ///< of the gates, by name
     std::map<connection_ptr, std::uint64_t> connections_; ///< accepted connections that have sent requests
     std::uint64_t next_connection_;
     transport::peer_server server_;
--- a/src/router/gate_network.h
+++ b/src/router/gate_network.h
@@ -24,9 +24,6 @@
     std::int32_t hops = 1;       ///< entries that have handled it so far
     duration time_left{};        ///< until the caller's or the route's limit
     duration target_time_left{}; ///< until the target latency; negative after it
-    duration link_time{};        ///< set aside for the way to the gate and back, beside time_left
-    /// The gate's clock as the request was sent, or earlier; empty when the sender does not know it.
-    std::optional<time_point> sent_at;
 };
 
 enum class routed_end : std::uint8_t {
@@ -40,7 +37,6 @@
     app::http_response answer; ///< when answered
     duration handled{};        ///< time at the gate, without the way there and back; when answered
     directory::upstream_incarnation answered_by{}; ///< empty id for an answer of the gate itself
-    time_point clock{};                            ///< the gate's clock as it sent the result
 };
 
 /// Answers a forwarded request. @p answered_by as in routed_result
@@ -68,7 +64,7 @@
     /// Calls @p done once, asynchronously, unless the request is withdrawn first.
     /// @param limit time after which the request counts as lost
     /// @returns a number for withdraw()
-    virtual std::uint64_t forward(const std::string& gate, routed_request request, duration limit,
+    virtual std::uint64_t forward(const std::string& gate, const routed_request& request, duration limit,
                                   on_end done) = 0;
     virtual void withdraw(const std::string& gate, std::uint64_t number) = 0;
 };
--- a/src/router/routing_codec.cpp
+++ b/src/router/routing_codec.cpp
@@ -4,18 +4,11 @@
 
 #include <routing_types.h>
 
-#include <algorithm>
-
 namespace kingcupseam::router {
 
 namespace {
 
 constexpr std::int32_t no_key = -1;
-constexpr std::int64_t unknown_time = 0;
-
-time_point to_time_point(std::int64_t us) {
-    return time_point(duration(us));
-}
 
 std::vector<wire::RoutedHeader> to_wire(const app::header_list& headers) {
     std::vector<wire::RoutedHeader> result;
@@ -49,8 +42,6 @@
     out.hops = source.hops;
     out.left_us = source.time_left.count();
     out.target_left_us = source.target_time_left.count();
-    out.sent_at_us = std::max(source.sent_at.value_or(time_point{}).time_since_epoch().count(), unknown_time);
-    out.link_time_us = source.link_time.count();
     out.request_id = source.request.id;
     out.method = source.request.method;
     out.target = source.request.target;
@@ -63,8 +54,7 @@
 
 routed_request decode_routed_request(const std::string& bytes) {
     auto in = transport::decode<wire::RoutedRequest>(bytes);
-    if (in.key < no_key || in.key > static_cast<std::int32_t>(directory::last_key) || in.left_us < 0 ||
-        in.link_time_us < 0 || in.sent_at_us < 0) {
+    if (in.key < no_key || in.key > static_cast<std::int32_t>(directory::last_key) || in.left_us < 0) {
         throw transport::malformed_frame("routed request has a key or a time out of range");
     }
     routed_request result;
@@ -75,10 +65,6 @@
     result.hops = in.hops;
     result.time_left = duration(in.left_us);
     result.target_time_left = duration(in.target_left_us);
-    result.link_time = duration(in.link_time_us);
-    if (in.sent_at_us != unknown_time) {
-        result.sent_at = to_time_point(in.sent_at_us);
-    }
     result.request.id = std::move(in.request_id);
     result.request.method = std::move(in.method);
     result.request.target = std::move(in.target);
@@ -100,7 +86,6 @@
     out.handled_us = source.handled.count();
     out.upstream_id = source.answered_by.id;
     out.upstream_started_ms = source.answered_by.started_ms;
-    out.clock_us = source.clock.time_since_epoch().count();
     return transport::encode(out);
 }
 
@@ -111,7 +96,6 @@
     result.answer = {in.status, from_wire(std::move(in.headers)), std::move(in.body), false};
     result.handled = duration(in.handled_us);
     result.answered_by = {std::move(in.upstream_id), in.upstream_started_ms};
-    result.clock = to_time_point(in.clock_us);
     return result;
 }
 
