--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -76,6 +76,7 @@
         1, false, "memory_mb = 160\n");
     for (int round = 0; round < 3; ++round) {
         std::vector<entry_processes::pending_ptr> requests;
+        requests.reserve(callers);
         for (int n = 0; n < callers; ++n) {
             requests.push_back(it.start_request("/safe/" + std::to_string(round * callers + n)));
         }
