--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -98,7 +98,9 @@
         ++report_.keys[it->service][*it->request.key];
     }
     const duration timeout = route->timeout > duration::zero() ? route->timeout : default_time_limit;
-    set_deadline(it, it->arrived + std::min(timeout, it->request.time_limit.value_or(default_time_limit)));
+    const duration callers_limit = it->request.time_limit.value_or(default_time_limit);
+    it->limited_by = callers_limit < timeout ? "caller" : "route";
+    set_deadline(it, it->arrived + std::min(timeout, callers_limit));
     dispatch(it);
 }
 
@@ -119,6 +121,9 @@
 }
 
 void dispatcher::set_deadline(const request_ptr& it, time_point deadline) {
+    if (deadline > last_deadline_) {
+        it->limited_by = "stopping";
+    }
     it->deadline = std::min(deadline, last_deadline_);
     start_deadline_timer(it, it->deadline - steady_now());
 }
@@ -128,7 +133,7 @@
     last_deadline_ = end;
     for (const auto& [id, it] : requests_) {
         if (it->deadline > end) {
-            set_deadline(it, end);
+            set_deadline(it, it->deadline);
         }
     }
 }
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -131,6 +131,8 @@
     /// @returns false when this entry sends the request to the upstream itself
     bool forward_to_gate(const request_ptr& it, const upstream_queue& queue);
     void on_routed(const request_ptr& it, routed_result result);
+    /// Logs that the gate failed a request itself, and how much time this entry had left then.
+    static void log_gate_failure(const in_flight_request& it, const routed_result& result);
     /// Cancels a request whose caller, or whose forwarding entry, has disconnected.
     void withdraw(const request_ptr& it);
     /// Holds the request until a directory update names an upstream for it, at most for max_owner_wait.
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -245,9 +245,11 @@
 }
 
 void dispatcher::fail(const request_ptr& it, int status, const char* reason) {
-    spdlog::info("request id={} outcome={} status={} reason={} service={} upstream={} age_ms={} directory={}",
+    spdlog::info("request id={} outcome={} status={} reason={} service={} upstream={} age_ms={} limit_ms={} "
+                 "limited_by={} directory={}",
                  it->request.id, it->in_doubt ? "unknown" : "failed", status, reason, it->service,
                  it->upstream, (steady_now() - it->arrived).count() / microseconds_per_millisecond,
+                 (it->deadline - it->arrived).count() / microseconds_per_millisecond, it->limited_by,
                  directory_->index);
     finish(it, {status, {}, {}, false}, reason);
 }
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -20,6 +20,10 @@
 constexpr duration gate_answer_time = std::chrono::milliseconds(25);
 constexpr duration link_reserve = std::chrono::milliseconds(75);
 
+std::int64_t milliseconds(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 } // namespace
 
 bool dispatcher::forward_to_gate(const request_ptr& it, const upstream_queue& queue) {
@@ -46,6 +50,7 @@
     const duration_estimate& links = link_times_[it->gate];
     out.time_left = it->deadline - now - std::min(links.upper(), (it->deadline - now) / 2);
     out.target_time_left = it->arrived + it->route.target_latency - now - links.mean();
+    it->gate_limit = out.time_left;
     it->upstream = queue.target().incarnation.id;
     it->sent_at = now;
     const duration limit = it->deadline - now + gate_answer_time;
@@ -67,6 +72,9 @@
         link_times_[it->gate].add(on_links);
         slot_usage_.on_forwarded(on_links);
         it->answered_by = result.answered_by;
+        if (result.answered_by.id.empty() && result.answer.status != status_unavailable) {
+            log_gate_failure(*it, result);
+        }
         // The gate reports it. This entry stops as well to send to the upstream itself, should the gate be
         // lost. The gate may have passed the request on to another upstream than the one of this entry.
         const auto queue = queues_.find(result.answered_by.id);
@@ -91,6 +99,13 @@
     fail(it, status_bad_gateway, "gate-lost");
 }
 
+void dispatcher::log_gate_failure(const in_flight_request& it, const routed_result& result) {
+    const time_point now = steady_now();
+    spdlog::info("gate failed request id={} status={} gate={} given_ms={} handled_ms={} left_ms={}",
+                 it.request.id, result.answer.status, it.gate, milliseconds(it.gate_limit),
+                 milliseconds(result.handled), milliseconds(it.deadline - now));
+}
+
 bool dispatcher::handle_routed(routed_request received, std::uint64_t connection, std::uint64_t number,
                                routed_reply reply) {
     if (refusing_new_requests_ || !directory_->config) {
@@ -112,6 +127,7 @@
     it->route.attempts = received.attempts;
     it->route.target_latency = received.target_time_left;
     it->route.timeout = received.time_left;
+    it->limited_by = "forwarder";
     requests_.emplace(it->id, it);
     set_deadline(it, now + received.time_left);
     if (is_refused_poison_request(it)) {
--- a/src/router/in_flight_request.h
+++ b/src/router/in_flight_request.h
@@ -27,7 +27,8 @@
     app::http_reply reply;
     std::size_t header_bytes = 0; ///< of the request line and the headers as the caller sent them
     time_point arrived;
-    time_point deadline; ///< the earlier of the caller's and the route's limit
+    time_point deadline = arrived;   ///< the earlier of the caller's and the route's limit
+    const char* limited_by = "none"; ///< what set the deadline, for the log
     asio::steady_timer deadline_timer;
     asio::steady_timer wait_timer; ///< ends a backoff, a wait for an owner, or a wait in a queue
     directory::route route;
@@ -41,6 +42,7 @@
     bool bypass_gate = false;              ///< the gate failed: this entry sends to the upstream itself
     std::int32_t hops = 0;                 ///< entries that forwarded it before this one
     std::string gate;                      ///< entry that it was forwarded to
+    duration gate_limit{};                 ///< time that the gate was given
     std::uint64_t gate_request_number = 0; ///< of the request at the gate; 0 when it is not there
     std::uint64_t peer_request_number = 0; ///< of a request from another entry, on its connection
     std::uint64_t exchange_id = 0;
