Gates: let a running request keep the whole time of its caller

Cause: an entry took the upper estimate of the time on links, up to half of the time left, off the limit that it gave the gate, and the gate cut what ran at that limit. The estimate changes only when an answer arrives, so a few slow answers shortened the time of all later requests to that gate. Class: a decision that ends work, made by an estimate that was meant for a refusal.

Requests now carry the whole time left, and beside it the estimate as time set aside for the way of the gate's own answer: what waits at the gate is refused that much earlier, as before, so that the refusal arrives in time.

--- a/idl/routing.thrift
+++ b/idl/routing.thrift
@@ -26,6 +26,8 @@
   13: binary body
   // Number of entries that have forwarded the request, including the one that received it from the caller.
   14: i32 hops
+  // Set aside for the way of the answer back, in milliseconds: a request that waits is refused so long before its deadline.
+  15: i32 answer_ms
 }
 
 struct RoutedReply {
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -174,7 +174,7 @@
     it->waiting_for_owner = true;
     waiting_for_owner_.push_back(it);
     const time_point now = steady_now();
-    const duration limit = std::min(settings_.max_owner_wait, (it->deadline - now) / 2);
+    const duration limit = std::min(settings_.max_owner_wait, (it->answer_by() - now) / 2);
     it->wait_timer.expires_after(limit);
     it->wait_timer.async_wait([this, it](const asio::error_code& ec) {
         if (!ec && it->waiting_for_owner && requests_.contains(it->id)) {
@@ -188,7 +188,7 @@
 void dispatcher::enqueue(const request_ptr& it, upstream_queue& queue) {
     const time_point now = steady_now();
     // A request that waits beyond its target latency makes those behind it late as well.
-    const time_point limit = std::min(it->deadline, std::max(it->arrived + it->route.target_latency, now));
+    const time_point limit = std::min(it->answer_by(), std::max(it->arrived + it->route.target_latency, now));
     it->upstream = queue.target().incarnation.id;
     const time_point expected = now + queue.expected_time_if_queued(it->route.priority, now);
     if (expected > limit) {
@@ -197,7 +197,7 @@
     }
     it->queued = true;
     queue.push(it->route.priority, it->id, limit);
-    start_queue_timer(it, it->deadline - min_useful_time(queue));
+    start_queue_timer(it, it->answer_by() - min_useful_time(queue));
     schedule_send_queued(queue);
 }
 
@@ -255,8 +255,8 @@
 void dispatcher::send(const request_ptr& it, upstream_queue& queue) {
     const time_point now = steady_now();
     const duration left = it->deadline - now;
-    if (left < (draining_ ? std::max(settings_.min_attempt_time, min_useful_time(queue))
-                          : settings_.min_attempt_time)) {
+    if (it->answer_by() - now < (draining_ ? std::max(settings_.min_attempt_time, min_useful_time(queue))
+                                           : settings_.min_attempt_time)) {
         refuse_or_fail(it, status_gateway_timeout, "deadline");
         return;
     }
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -106,7 +106,7 @@
         on_failure(it, exchange_end::malformed);
         return;
     }
-    if (!success && answer.status >= 500 && it->deadline - now > settings_.min_attempt_time * 2) {
+    if (!success && answer.status >= 500 && it->answer_by() - now > settings_.min_attempt_time * 2) {
         it->last_failed_upstream = it->upstream;
         if (retry_immediately(it, now)) {
             return;
@@ -126,7 +126,7 @@
         return;
     }
     it->in_doubt = true;
-    if (end == exchange_end::timeout || now + settings_.min_attempt_time >= it->deadline) {
+    if (end == exchange_end::timeout || now + settings_.min_attempt_time >= it->answer_by()) {
         fail(it, status_gateway_timeout, "timeout");
         return;
     }
@@ -159,7 +159,7 @@
 
 void dispatcher::retry_or_end(const request_ptr& it, const char* reason, duration delay) {
     const time_point now = steady_now();
-    const bool time_left = now + delay + settings_.min_attempt_time < it->deadline;
+    const bool time_left = now + delay + settings_.min_attempt_time < it->answer_by();
     const bool retry = it->send_count > 0;
     if (!time_left || now - it->arrived > it->route.target_latency ||
         (retry && !budget_of(it->service).try_retry(entry_count_, now))) {
--- a/src/router/dispatcher_backpressure.cpp
+++ b/src/router/dispatcher_backpressure.cpp
@@ -42,7 +42,7 @@
     const duration useful_time = min_useful_time(queue);
     for (const auto id : queue.waiting_requests()) {
         const auto found = requests_.find(id);
-        if (found != requests_.end() && queue.paused_until() + useful_time > found->second->deadline) {
+        if (found != requests_.end() && queue.paused_until() + useful_time > found->second->answer_by()) {
             const request_ptr it = found->second;
             refuse_for_lack_of_room(it, queue, queue.paused_until() - steady_now());
         }
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -32,7 +32,7 @@
         return false;
     }
     const time_point now = steady_now();
-    if (it->deadline - now < settings_.min_attempt_time) {
+    if (it->answer_by() - now < settings_.min_attempt_time) {
         return false;
     }
     it->gate = gates_->gate_of(queue.target());
@@ -46,9 +46,10 @@
     out.priority = it->route.priority;
     out.attempts = it->route.attempts;
     out.hops = it->hops + 1;
-    // The gate's answer has to be here in time.
     const duration_estimate& links = link_times_[it->gate];
-    out.time_left = it->deadline - now - std::min(links.upper(), (it->deadline - now) / 2);
+    out.time_left = it->deadline - now;
+    // An estimate must not shorten the time of a request that runs: only what waits at the gate ends earlier.
+    out.answer_time = std::min(it->answer_time + links.upper(), out.time_left / 2);
     out.target_time_left = it->arrived + it->route.target_latency - now - links.mean();
     it->gate_limit = out.time_left;
     it->upstream = queue.target().incarnation.id;
@@ -127,6 +128,7 @@
     it->route.attempts = received.attempts;
     it->route.target_latency = received.target_time_left;
     it->route.timeout = received.time_left;
+    it->answer_time = received.answer_time;
     it->limited_by = "forwarder";
     requests_.emplace(it->id, it);
     set_deadline(it, now + received.time_left);
--- a/src/router/gate_network.h
+++ b/src/router/gate_network.h
@@ -23,6 +23,7 @@
     std::int32_t attempts = 1;
     std::int32_t hops = 1;       ///< entries that have handled it so far
     duration time_left{};        ///< until the caller's or the route's limit
+    duration answer_time{};      ///< of time_left, set aside for the way of the gate's own answer back
     duration target_time_left{}; ///< until the target latency; negative after it
 };
 
--- a/src/router/in_flight_request.h
+++ b/src/router/in_flight_request.h
@@ -22,6 +22,9 @@
         : id(number), request(std::move(received)), reply(std::move(answer_to)), arrived(now),
           deadline_timer(context), wait_timer(context) {}
 
+    /// By when an answer that this entry makes itself must leave. A running request has until the deadline.
+    time_point answer_by() const { return deadline - answer_time; }
+
     std::uint64_t id;
     caller_request request;
     app::http_reply reply;
@@ -29,6 +32,7 @@
     time_point arrived;
     time_point deadline = arrived;   ///< the earlier of the caller's and the route's limit
     const char* limited_by = "none"; ///< what set the deadline, for the log
+    duration answer_time{};          ///< for the way of an answer to the entry that forwarded it
     asio::steady_timer deadline_timer;
     asio::steady_timer wait_timer; ///< ends a backoff, a wait for an owner, or a wait in a queue
     directory::route route;
--- a/src/router/routing_codec.cpp
+++ b/src/router/routing_codec.cpp
@@ -42,6 +42,8 @@
     out.hops = source.hops;
     out.left_us = source.time_left.count();
     out.target_left_us = source.target_time_left.count();
+    out.answer_ms = static_cast<std::int32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(source.answer_time).count());
     out.request_id = source.request.id;
     out.method = source.request.method;
     out.target = source.request.target;
@@ -54,7 +56,8 @@
 
 routed_request decode_routed_request(const std::string& bytes) {
     auto in = transport::decode<wire::RoutedRequest>(bytes);
-    if (in.key < no_key || in.key > static_cast<std::int32_t>(directory::last_key) || in.left_us < 0) {
+    if (in.key < no_key || in.key > static_cast<std::int32_t>(directory::last_key) || in.left_us < 0 ||
+        in.answer_ms < 0) {
         throw transport::malformed_frame("routed request has a key or a time out of range");
     }
     routed_request result;
@@ -65,6 +68,7 @@
     result.hops = in.hops;
     result.time_left = duration(in.left_us);
     result.target_time_left = duration(in.target_left_us);
+    result.answer_time = std::chrono::milliseconds(in.answer_ms);
     result.request.id = std::move(in.request_id);
     result.request.method = std::move(in.method);
     result.request.target = std::move(in.target);
--- a/tests/router/gate_links_test.cpp
+++ b/tests/router/gate_links_test.cpp
@@ -156,6 +156,7 @@
     result.hops = 2;
     result.time_left = milliseconds(2900);
     result.target_time_left = milliseconds(-40);
+    result.answer_time = milliseconds(120);
     return result;
 }
 
@@ -255,6 +256,7 @@
             CHECK(got.request.hops == sent.hops);
             CHECK(got.request.time_left == sent.time_left);
             CHECK(got.request.target_time_left == sent.target_time_left);
+            CHECK(got.request.answer_time == sent.answer_time);
         }
         SUBCASE("the entry receives all fields of the answer") {
             got.reply({201, {{"X-Signature", "sig"}}, std::string("x\0y", 3), false}, {"u", 8});
