Gates: a lookup waits for a silent gate unless another attempt is allowed

Cause: requests that may run again were withdrawn from a silent gate at once, and failed where their attempts or the retry budget left no other way. Only requests that may run once waited.

The link now tells the dispatcher that the gate is silent and keeps the request; it is withdrawn only to be sent another way.

--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -131,6 +131,8 @@
     /// @returns false when this entry sends the request to the upstream itself
     bool forward_to_gate(const request_ptr& it, const upstream_queue& queue);
     void on_routed(const request_ptr& it, routed_result result);
+    /// Sends a request another way if it may run once more; otherwise it waits for its gate.
+    void on_gate_silent(const request_ptr& it);
     /// Logs that the gate failed a request itself, and how much time this entry had left then.
     static void log_gate_failure(const in_flight_request& it, const routed_result& result);
     /// Cancels a request whose caller, or whose forwarding entry, has disconnected.
@@ -156,7 +158,9 @@
     void on_failure(const request_ptr& it, exchange_end end);
     void on_wrong_owner(const request_ptr& it, time_point now);
     /// Retries without delay if the request is idempotent and attempts and retry budget are left.
-    bool retry_immediately(const request_ptr& it, time_point now);
+    bool retry_immediately(const request_ptr& it);
+    /// Takes a retry from the budget if the request may run once more after @p possible_runs.
+    bool may_retry(const in_flight_request& it, int possible_runs);
     /// Retries after @p delay, or ends the request when no time or retry budget is left.
     void retry_or_end(const request_ptr& it, const char* reason, duration delay);
     /// Resets the connection, which cancels the request at the upstream.
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -108,7 +108,7 @@
     }
     if (!success && answer.status >= 500 && it->answer_by() - now > settings_.min_attempt_time * 2) {
         it->last_failed_upstream = it->upstream;
-        if (retry_immediately(it, now)) {
+        if (retry_immediately(it)) {
             return;
         }
     }
@@ -130,15 +130,19 @@
         fail(it, status_gateway_timeout, "timeout");
         return;
     }
-    if (retry_immediately(it, now)) {
+    if (retry_immediately(it)) {
         return;
     }
     fail(it, status_bad_gateway, reason_of(end));
 }
 
-bool dispatcher::retry_immediately(const request_ptr& it, time_point now) {
-    const bool may_retry = it->route.runs == execution::idempotent && it->possible_runs < it->route.attempts;
-    if (!may_retry || !budget_of(it->service).try_retry(entry_count_, now)) {
+bool dispatcher::may_retry(const in_flight_request& it, int possible_runs) {
+    return it.route.runs == execution::idempotent && possible_runs < it.route.attempts &&
+           budget_of(it.service).try_retry(entry_count_, steady_now());
+}
+
+bool dispatcher::retry_immediately(const request_ptr& it) {
+    if (!may_retry(*it, it->possible_runs)) {
         return false;
     }
     dispatch(it);
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 // Requests that are forwarded to the gates of their upstreams, and requests from other entries.
 
@@ -59,10 +60,15 @@
     // This entry withdraws the request at its own limit, before the link gives it up.
     it->gate_request_number =
         gates_->forward(it->gate, out, limit + link_reserve, [this, it](routed_result result) {
-            it->gate_request_number = 0;
-            if (requests_.contains(it->id)) {
-                on_routed(it, std::move(result));
+            if (!requests_.contains(it->id)) {
+                return;
+            }
+            if (result.end == routed_end::silent) {
+                on_gate_silent(it);
+                return;
             }
+            it->gate_request_number = 0;
+            on_routed(it, std::move(result));
         });
     return true;
 }
@@ -94,12 +100,28 @@
     it->in_doubt = true;
     ++it->send_count;
     ++it->possible_runs;
-    if (retry_immediately(it, steady_now())) {
+    if (retry_immediately(it)) {
         return;
     }
     fail(it, status_bad_gateway, "gate-lost");
 }
 
+void dispatcher::on_gate_silent(const request_ptr& it) {
+    // Its upstream may be at work: it waits for the gate unless it can be sent another way now.
+    const time_point now = steady_now();
+    upstream_queue* const queue = select_upstream(it);
+    if (queue == nullptr || queue->stopped(now) || !queue->can_send(now) ||
+        it->answer_by() - now < min_useful_time(*queue) || !may_retry(*it, it->possible_runs + 1)) {
+        return;
+    }
+    gates_->withdraw(it->gate, std::exchange(it->gate_request_number, 0));
+    it->bypass_gate = true;
+    it->in_doubt = true;
+    ++it->send_count;
+    ++it->possible_runs;
+    dispatch(it);
+}
+
 void dispatcher::log_gate_failure(const in_flight_request& it, const routed_result& result) {
     const time_point now = steady_now();
     spdlog::info("gate failed request id={} status={} gate={} given_ms={} handled_ms={} left_ms={}",
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -85,10 +85,9 @@
     if (!links_.at(name)->silent()) {
         return; // up, or closed, which ends the pending requests
     }
-    const auto pending = std::exchange(repeatable_[name], {});
+    const auto pending = repeatable_[name]; // a copy: the handlers withdraw requests
     for (const auto& [number, done] : pending) {
-        withdraw(name, number);
-        done({routed_end::lost, {}, {}});
+        done({routed_end::silent, {}, {}});
     }
 }
 
--- a/src/router/gate_links.h
+++ b/src/router/gate_links.h
@@ -57,7 +57,7 @@
     receiver callbacks_;
     gate_assignment assignment_;
     std::map<std::string, std::unique_ptr<transport::peer_link>> links_;
-    /// Pending requests that may run again, by gate and number: they do not wait for a silent gate.
+    /// Pending requests that may run again, by gate and number: they need not wait for a silent gate.
     std::map<std::string, std::map<std::uint64_t, on_end>> repeatable_;
     std::map<connection_ptr, std::uint64_t> connections_; ///< accepted connections that have sent requests
     std::uint64_t next_connection_;
--- a/src/router/gate_network.h
+++ b/src/router/gate_network.h
@@ -31,6 +31,7 @@
     answered,     ///< the gate's answer is the answer to the caller
     not_accepted, ///< it has not run and may be sent by another entry
     lost,         ///< the gate may have sent it to an upstream
+    silent, ///< the gate has not been heard for a while; the request is still there and may be withdrawn
 };
 
 struct routed_result {
@@ -62,7 +63,8 @@
     virtual bool is_gate(const directory::upstream& target) = 0;
     /// Name of the gate of @p target; empty when this entry sends to the upstream itself.
     virtual std::string gate_of(const directory::upstream& target) = 0;
-    /// Calls @p done once, asynchronously, unless the request is withdrawn first.
+    /// Calls @p done once with the end, asynchronously, unless the request is withdrawn first. Before that it
+    /// calls it with routed_end::silent each time that the gate falls silent, if the request may run again.
     /// @param limit time after which the request counts as lost
     /// @returns a number for withdraw()
     virtual std::uint64_t forward(const std::string& gate, const routed_request& request, duration limit,
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -192,6 +192,13 @@
             CHECK(it.answer->status == 200);
             CHECK(it.upstream.requests == 1);
         }
+        SUBCASE("is sent by this entry when the gate is silent and another attempt is allowed") {
+            gates.callbacks.front()({router::routed_end::silent, {}});
+            it.run_until([&] { return it.answer.has_value(); });
+            CHECK(it.answer->status == 200);
+            CHECK(it.upstream.requests == 1);
+            CHECK(gates.withdrawn == std::vector<std::uint64_t>{1});
+        }
         SUBCASE("is withdrawn at the gate when the caller disconnects") {
             it.under_test.on_connection_closed(7);
             CHECK(gates.withdrawn == std::vector<std::uint64_t>{1});
@@ -203,6 +210,35 @@
             CHECK(gates.withdrawn == std::vector<std::uint64_t>{1});
         }
     }
+    // Guards against a 502 for a lookup at which its upstream is at work, because its gate is slow for a
+    // moment.
+    SUBCASE("waits for a silent gate when no other attempt is allowed") {
+        it.start("/once/1");
+        REQUIRE(gates.forwarded.size() == 1);
+        gates.callbacks.front()({router::routed_end::silent, {}});
+        CHECK_FALSE(it.answer);
+        CHECK(gates.withdrawn.empty());
+        gates.callbacks.front()({router::routed_end::answered, signed_answer({}), {}});
+        REQUIRE(it.answer);
+        CHECK(it.answer->status == 200);
+    }
+    SUBCASE("waits for a silent gate when its upstream cannot be sent to now") {
+        it.start("/safe/1");
+        REQUIRE(gates.forwarded.size() == 1);
+        SUBCASE("because its key has no owner") {
+            it.configure_without_owner();
+        }
+        SUBCASE("because too little time is left") {
+            const time_point begun = steady_now();
+            it.run_until([&] { return steady_now() - begun >= milliseconds(960); });
+        }
+        gates.callbacks.front()({router::routed_end::silent, {}});
+        CHECK_FALSE(it.answer);
+        CHECK(gates.withdrawn.empty());
+        gates.callbacks.front()({router::routed_end::answered, signed_answer({}), {}});
+        REQUIRE(it.answer);
+        CHECK(it.answer->status == 200);
+    }
     // Guards against answers that come too late on a slow link: the gate admitted requests up to the target
     // latency of the caller, and refused others only when the entry had already given up with 504.
     SUBCASE("is given all of its time, and the part that the gate's own answer needs for its way") {
