Gates: a stopping gate accepts no request that could outlast it

What callers would see: 504 for a request at which its upstream is at work, because its gate stops: the gate took requests for half of its grace period, and cut them at the end of it, whatever time they had been given.

Such a request is not accepted, and its entry sends it itself.

Evidence: "is accepted by a stopping entry only when it ends before that" failed before.

--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -131,10 +131,11 @@
 
 bool dispatcher::handle_routed(routed_request received, std::uint64_t connection, std::uint64_t number,
                                routed_reply reply) {
-    if (refusing_new_requests_ || !directory_->config) {
+    const time_point now = steady_now();
+    // The end of this process must not cut a request that another entry could let run.
+    if (refusing_new_requests_ || !directory_->config || now + received.time_left > last_deadline_) {
         return false;
     }
-    const time_point now = steady_now();
     const auto it = std::make_shared<in_flight_request>(context_, next_request_id_++,
                                                         std::move(received.request), app::http_reply(), now);
     it->reply = [reply = std::move(reply), request = it.get()](app::http_response answer) {
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -319,6 +319,15 @@
         it.under_test.refuse_new_requests();
         CHECK_FALSE(handle_routed_request());
     }
+    // Guards against a 504 for a request at which its upstream is at work, because its gate stops.
+    SUBCASE("is accepted by a stopping entry only when it ends before that") {
+        it.configure(true);
+        gates.gate.clear();
+        it.under_test.start_draining(steady_now() + milliseconds(700));
+        CHECK_FALSE(handle_routed_request());
+        request.time_left = milliseconds(600);
+        CHECK(handle_routed_request());
+    }
     // Guards against requests that stay queued at the former gate after their key has moved.
     SUBCASE("is forwarded once more when the key's upstream has another gate") {
         it.configure(true);
