Gates: times of a gate's answers and requests are kept in range

What callers would see: 502 for all requests at a gate whose clock runs faster than the entry's, for as long as that entry forwards to it.

Cause: the time on links is the entry's time less the time that the gate reports. A negative result made a negative estimate, which went into the next request; the gate refused that frame as malformed and closed the link. Huge times of a peer overflowed sums with the clock.

Evidence: "is forwarded with times in range after a gate claimed to have taken longer than it did" failed before.

--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -75,7 +75,9 @@
 
 void dispatcher::on_routed(const request_ptr& it, routed_result result) {
     if (result.end == routed_end::answered) {
-        const duration on_links = steady_now() - it->sent_at - result.handled;
+        // The gate's clock may run faster, and its answer may hold any number.
+        const duration on_links = std::clamp(steady_now() - it->sent_at - result.handled, duration::zero(),
+                                             steady_now() - it->sent_at);
         link_times_[it->gate].add(on_links);
         slot_usage_.on_forwarded(on_links);
         it->answered_by = result.answered_by;
--- a/src/router/routing_codec.cpp
+++ b/src/router/routing_codec.cpp
@@ -4,11 +4,15 @@
 
 #include <routing_types.h>
 
+#include <algorithm>
+
 namespace kingcupseam::router {
 
 namespace {
 
 constexpr std::int32_t no_key = -1;
+// Sums with a clock must not overflow.
+constexpr duration max_time_left = std::chrono::hours(24 * 365);
 
 std::vector<wire::RoutedHeader> to_wire(const app::header_list& headers) {
     std::vector<wire::RoutedHeader> result;
@@ -60,7 +64,8 @@
 routed_request decode_routed_request(const std::string& bytes) {
     auto in = transport::decode<wire::RoutedRequest>(bytes);
     if (in.key < no_key || in.key > static_cast<std::int32_t>(directory::last_key) || in.left_us < 0 ||
-        in.answer_ms < 0) {
+        in.left_us > max_time_left.count() || in.target_left_us > max_time_left.count() ||
+        in.target_left_us < -max_time_left.count() || in.answer_ms < 0) {
         throw transport::malformed_frame("routed request has a key or a time out of range");
     }
     routed_request result;
@@ -104,7 +109,7 @@
     routed_result result;
     result.end = in.taken ? routed_end::answered : routed_end::not_accepted;
     result.answer = {in.status, from_wire(std::move(in.headers)), std::move(in.body), false};
-    result.handled = duration(in.handled_us);
+    result.handled = duration(std::clamp<std::int64_t>(in.handled_us, 0, max_time_left.count()));
     result.answered_by = {std::move(in.upstream_id), in.upstream_started_ms};
     return result;
 }
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -260,6 +260,13 @@
     }
     // Guards against sending a negative time to the gate: it closes the link as malformed, and all requests
     // on that link are lost.
+    SUBCASE("is forwarded with times in range after a gate claimed to have taken longer than it did") {
+        it.start("/safe/1");
+        gates.callbacks.back()({router::routed_end::answered, signed_answer({}), milliseconds(500)});
+        it.start("/safe/1");
+        CHECK(gates.forwarded.back().answer_time >= duration::zero());
+        CHECK(gates.forwarded.back().target_time_left <= milliseconds(400));
+    }
     SUBCASE("is not forwarded when no time is left") {
         std::optional<http_response> late;
         it.start("/safe/1", milliseconds(0), late);
