Entries: a late stop signal lets no request be taken that may be cut

What callers would see: 504 or a closed connection for a request that was sent late in the grace period.

Cause: requests were taken for half of the grace period, counted from when the traffic thread learned of the signal, checked each 50 ms; what a user counts from the signal itself. They are now refused 250 ms earlier.

Evidence: the new section of "a stopping entry leaves no request without an answer" failed before.

--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -26,6 +26,8 @@
 constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
 // Part of the grace period after which new requests are refused: they might not end before the process exits.
 constexpr int grace_part_for_new_requests = 2; // half
+// A busy process handles the stop signal late.
+constexpr duration max_signal_delay = std::chrono::milliseconds(250);
 // Time between the exit of the process and the kill signal.
 constexpr duration stop_reserve = std::chrono::milliseconds(500);
 // Time between the deadline of the last requests and the exit, for their answers.
@@ -176,7 +178,7 @@
 
 void entry_process::poll_stop() {
     const duration elapsed = steady_now() - stopping_since_;
-    if (elapsed > settings_.grace_period / grace_part_for_new_requests) {
+    if (elapsed + max_signal_delay > settings_.grace_period / grace_part_for_new_requests) {
         dispatcher_->refuse_new_requests();
     }
     if ((elapsed > min_unready_time && dispatcher_->requests_in_flight() == 0) ||
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -49,6 +49,14 @@
         }
         CHECK(served > 20); // in the first half of the grace period
     }
+    SUBCASE(
+        "when one arrives just before half of the grace period, as the signal may have been handled late") {
+        it.entry().signal(SIGTERM);
+        it.run_for(milliseconds(900));
+        const auto request = it.start_request("/unsafe/2");
+        CHECK(it.status_of(request) == 503);
+        CHECK_FALSE(arrivals.contains(request->id));
+    }
     SUBCASE("when its upstream does not answer") {
         answers = false;
         const auto request = it.start_request("/unsafe/2", milliseconds(2900));
