Gates: pass long answers to entries in parts

Cause: the answer went in one frame, the encoder throws above 8 MiB, and nothing caught that.

The body of an answer above 64 KiB now goes in parts, each once the former one is written, and the last bytes come with the number of bytes before them: an entry that does not have exactly these takes the answer for lost. What a gate has to send and what an entry gathers is bounded by the figure for unfinished answers. A connection drops a frame that is too long, and a request on a link fails as not sent, so no caller of the encoder can end a process by it. A stopping entry waits for parts that are still to be sent.

--- a/idl/routing.thrift
+++ b/idl/routing.thrift
@@ -43,6 +43,17 @@
   // Incarnation of the upstream that gave the answer; an empty id for an answer of the gate itself.
   6: string upstream_id
   7: i64 upstream_started_ms
+  // Bytes of the body that were sent before, in parts. If not all of them have arrived, the answer is lost.
+  8: optional i64 body_bytes_before
+  // True if the request may have run and its answer cannot be sent.
+  9: optional bool lost
+}
+
+// The next bytes of the body of a long answer, to the request with this correlation number on the same link. The last
+// ones come in RoutedReply.
+struct RoutedReplyPart {
+  1: i64 correlation
+  2: binary bytes
 }
 
 // Cancels the request that was sent with this correlation number on the same link.
--- a/include/kingcupseam/transport.h
+++ b/include/kingcupseam/transport.h
@@ -50,12 +50,14 @@
     routed_reply,
     routed_cancel,
     directory_update_compressed,
+    routed_reply_part,
 };
-inline constexpr std::uint16_t last_frame_type =
-    static_cast<std::uint16_t>(frame_type::directory_update_compressed);
+inline constexpr std::uint16_t last_frame_type = static_cast<std::uint16_t>(frame_type::routed_reply_part);
 
+/// Of the type, the correlation number and the payload.
 inline constexpr std::uint32_t max_frame_bytes = 8 * 1024 * 1024;
 inline constexpr std::size_t frame_header_bytes = 14;
+inline constexpr std::size_t max_payload_bytes = max_frame_bytes - 10;
 
 struct frame {
     frame_type type = frame_type::heartbeat;
@@ -70,6 +72,7 @@
     using error::error;
 };
 
+/// @throws malformed_frame if the payload exceeds max_payload_bytes
 std::string encode_frame(const frame& source);
 
 /// Splits a byte stream into frames.
@@ -143,7 +146,11 @@
 class connection : public std::enable_shared_from_this<connection> {
 public:
     virtual ~connection() = default;
+    /// Drops a frame whose payload exceeds max_payload_bytes: the peer would close the connection.
     virtual void send(frame outgoing) = 0;
+    /// Calls @p done, later, once all frames sent so far are written to the socket, unless the connection
+    /// closes first.
+    virtual void after_written(std::function<void()> done) = 0;
     virtual const peer_identity& peer() const = 0;
     virtual bool open() const = 0;
 };
@@ -163,10 +170,15 @@
 
     /// Sends a request. @p done is called exactly once on the thread of the io_context, unless abandon() is
     /// called or the link is destroyed first.
-    /// @returns the correlation number of the request; 0 if the link is down
+    /// @returns the correlation number of the request; 0 if it is not sent, since the link is down or the
+    /// payload exceeds max_payload_bytes
     std::uint64_t request(frame outgoing, duration timeout, std::function<void(reply)> done);
     /// Drops a pending request without calling its @p done.
     void abandon(std::uint64_t correlation);
+    /// Ends a pending request as lost.
+    void fail(std::uint64_t correlation);
+    /// True while the request waits for its reply.
+    bool awaits(std::uint64_t correlation) const;
     /// Sends a one-way frame, or drops it if there is no connection.
     void notify(frame outgoing);
     /// True while a connection is open, the peer's hello has arrived and the peer is not silent.
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -122,7 +122,7 @@
     };
     gates_ = std::make_unique<gate_links>(traffic_.io, links_->self(),
                                           endpoint_address{settings_.ip, settings_.peer_port},
-                                          std::move(callbacks));
+                                          std::move(callbacks), max_unfinished_answers(settings_.memory_mb));
     dispatcher_->set_gates(gates_.get());
 }
 
@@ -181,8 +181,8 @@
     if (elapsed + max_signal_delay > settings_.grace_period / grace_part_for_new_requests) {
         dispatcher_->refuse_new_requests();
     }
-    if ((elapsed > min_unready_time && dispatcher_->requests_in_flight() == 0) ||
-        elapsed > settings_.grace_period - stop_reserve) {
+    const bool idle = dispatcher_->requests_in_flight() == 0 && !gates_->sending();
+    if ((elapsed > min_unready_time && idle) || elapsed > settings_.grace_period - stop_reserve) {
         spdlog::info("entry stopped requests_cut={}", dispatcher_->requests_in_flight());
         control_.io.stop();
         return;
--- a/src/router/gate_links.cpp
+++ b/src/router/gate_links.cpp
@@ -27,14 +27,16 @@
 } // namespace
 
 gate_links::gate_links(asio::io_context& context, const transport::peer_identity& self,
-                       const endpoint_address& listen, receiver callbacks)
+                       const endpoint_address& listen, receiver callbacks, std::size_t max_answer_bytes)
     : context_(context), self_(self), callbacks_(std::move(callbacks)),
-      next_connection_(first_link_connection),
+      next_connection_(first_link_connection), gathered_(max_answer_bytes),
+      sender_(std::make_shared<answer_sender>(max_answer_bytes)),
       server_(context, listen, self, gate_link_settings(),
               [this](const connection_ptr& from, const transport::frame& received) {
                   on_frame(from, received);
               }) {
     server_.on_disconnect([this](const connection_ptr& ended) {
+        sender_->drop_all(ended);
         const auto known = connections_.find(ended);
         if (known != connections_.end()) {
             callbacks_.on_disconnect(known->second.number);
@@ -76,10 +78,12 @@
     auto known = links_.find(name);
     if (known == links_.end()) {
         known = links_
-                    .emplace(name,
-                             std::make_unique<transport::peer_link>(
-                                 context_, parse_endpoint("entries", "name", name), self_,
-                                 gate_link_settings(), [](const connection_ptr&, const transport::frame&) {}))
+                    .emplace(name, std::make_unique<transport::peer_link>(
+                                       context_, parse_endpoint("entries", "name", name), self_,
+                                       gate_link_settings(),
+                                       [this, name](const connection_ptr&, const transport::frame& received) {
+                                           on_answer_part(name, received);
+                                       }))
                     .first;
         known->second->on_state_change([this, name](bool up) { on_link_state(name, up); });
     }
@@ -111,8 +115,9 @@
                                      if (repeatable) {
                                          repeatable_[gate].erase(*number);
                                      }
+                                     auto before = gathered_.take(gate, *number);
                                      if (it.answer && it.answer->type == frame_type::routed_reply) {
-                                         done(decode_routed_result(it.answer->payload));
+                                         done(decode_routed_result(it.answer->payload, std::move(before)));
                                          return;
                                      }
                                      const bool not_sent =
@@ -131,12 +136,27 @@
         return;
     }
     known->second->abandon(number);
+    gathered_.take(gate, number);
     if (const auto pending = repeatable_.find(gate); pending != repeatable_.end()) {
         pending->second.erase(number);
     }
     cancel(*known->second, number);
 }
 
+void gate_links::on_answer_part(const std::string& gate, const transport::frame& received) {
+    if (received.type != frame_type::routed_reply_part) {
+        return;
+    }
+    const auto in = transport::decode<wire::RoutedReplyPart>(received.payload);
+    const auto number = static_cast<std::uint64_t>(in.correlation);
+    auto& from = *links_.at(gate);
+    if (from.awaits(number) && !gathered_.add(gate, number, in.bytes)) {
+        spdlog::warn("long answer dropped gate={} reason=memory", gate);
+        cancel(from, number);
+        from.fail(number);
+    }
+}
+
 void gate_links::cancel(transport::peer_link& link, std::uint64_t number) {
     wire::RoutedCancel out;
     out.correlation = static_cast<std::int64_t>(number);
@@ -161,8 +181,9 @@
         if (in.__isset.stamp) {
             sender.delay.add(in.stamp, steady_now());
         }
-        if (in.correlation != 0) {
-            callbacks_.on_withdrawn(sender.number, static_cast<std::uint64_t>(in.correlation));
+        if (const auto number = static_cast<std::uint64_t>(in.correlation); number != 0) {
+            sender_->drop(from, number);
+            callbacks_.on_withdrawn(sender.number, number);
         }
     } else {
         spdlog::warn("frame ignored type={} peer={}", static_cast<int>(received.type), from->peer().id.name);
@@ -171,11 +192,10 @@
 
 void gate_links::on_routed_request(const connection_ptr& from, const transport::frame& received) {
     const std::uint64_t number = received.correlation;
-    const auto reply = [from, number, arrived = steady_now()](
+    const auto reply = [from, number, sender = sender_, arrived = steady_now()](
                            app::http_response answer, const directory::upstream_incarnation& answered_by) {
-        from->send({frame_type::routed_reply, number,
-                    encode(routed_result{routed_end::answered, std::move(answer), steady_now() - arrived,
-                                         answered_by})});
+        sender->send(from, number,
+                     {routed_end::answered, std::move(answer), steady_now() - arrived, answered_by});
     };
     auto request = decode_routed_request(received.payload);
     incoming& sender = incoming_of(from);
--- a/src/router/gate_links.h
+++ b/src/router/gate_links.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "router/answer_parts.h"
 #include "router/gate_assignment.h"
 #include "router/gate_network.h"
 #include "router/link_delay.h"
@@ -28,8 +29,10 @@
         std::function<void(std::uint64_t connection)> on_disconnect;
     };
 
+    /// @param max_answer_bytes of all long answers together that arrive, and of all that are being sent
     gate_links(asio::io_context& context, const transport::peer_identity& self,
-               const endpoint_address& listen, receiver callbacks);
+               const endpoint_address& listen, receiver callbacks,
+               std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024);
 
     /// @param entries all entries that accept requests
     void set_entries(std::vector<entry_instance> entries);
@@ -42,6 +45,8 @@
     std::uint64_t forward(const std::string& gate, routed_request request, duration limit,
                           on_end done) override;
     void withdraw(const std::string& gate, std::uint64_t number) override;
+    /// True while parts of an answer wait to be sent.
+    bool sending() const { return sender_->sending(); }
 
 private:
     using connection_ptr = std::shared_ptr<transport::connection>;
@@ -63,6 +68,7 @@
     static bool deduct_delay(routed_request& request, duration delay);
     incoming& incoming_of(const connection_ptr& from);
     void on_link_state(const std::string& name, bool up);
+    void on_answer_part(const std::string& gate, const transport::frame& received);
 
     asio::io_context& context_;
     transport::peer_identity self_;
@@ -73,6 +79,8 @@
     std::map<std::string, std::map<std::uint64_t, on_end>> repeatable_;
     std::map<connection_ptr, incoming> connections_; ///< those that have sent something
     std::uint64_t next_connection_;
+    answer_gatherer gathered_;
+    std::shared_ptr<answer_sender> sender_;
     transport::peer_server server_;
 };
 
--- a/src/router/routing_codec.cpp
+++ b/src/router/routing_codec.cpp
@@ -92,9 +92,15 @@
     return result;
 }
 
-std::string encode(const routed_result& source) {
+std::string encode(const routed_result& source, std::size_t body_bytes_before) {
     wire::RoutedReply out;
-    out.taken = source.end == routed_end::answered;
+    out.taken = source.end != routed_end::not_accepted;
+    if (source.end == routed_end::lost) {
+        out.__set_lost(true);
+    }
+    if (body_bytes_before > 0) {
+        out.__set_body_bytes_before(static_cast<std::int64_t>(body_bytes_before));
+    }
     out.status = source.answer.status;
     out.headers = to_wire(source.answer.headers);
     out.body = source.answer.body;
@@ -104,11 +110,15 @@
     return transport::encode(out);
 }
 
-routed_result decode_routed_result(const std::string& bytes) {
+routed_result decode_routed_result(const std::string& bytes, std::string body_before) {
     auto in = transport::decode<wire::RoutedReply>(bytes);
+    if (in.lost || in.body_bytes_before != static_cast<std::int64_t>(body_before.size())) {
+        return {routed_end::lost, {}, {}, {}};
+    }
     routed_result result;
     result.end = in.taken ? routed_end::answered : routed_end::not_accepted;
-    result.answer = {in.status, from_wire(std::move(in.headers)), std::move(in.body), false};
+    std::string body = body_before.empty() ? std::move(in.body) : std::move(body_before) + in.body;
+    result.answer = {in.status, from_wire(std::move(in.headers)), std::move(body), false};
     result.handled = duration(std::clamp<std::int64_t>(in.handled_us, 0, max_time_left.count()));
     result.answered_by = {std::move(in.upstream_id), in.upstream_started_ms};
     return result;
--- a/src/transport/frame.cpp
+++ b/src/transport/frame.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t rest_header_bytes = frame_header_bytes - length_bytes;
+static_assert(max_payload_bytes + rest_header_bytes == max_frame_bytes);
 // The buffer is compacted above this many consumed bytes, so that it does not grow on a long-lived link.
 constexpr std::size_t compact_threshold = 64 * 1024;
 
@@ -28,7 +29,7 @@
 } // namespace
 
 std::string encode_frame(const frame& source) {
-    if (source.payload.size() > max_frame_bytes - rest_header_bytes) {
+    if (source.payload.size() > max_payload_bytes) {
         throw malformed_frame("payload of " + std::to_string(source.payload.size()) +
                               " bytes exceeds the frame limit");
     }
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -27,6 +27,8 @@
     void on_reply(frame received);
     std::uint64_t request(frame outgoing, duration timeout, std::function<void(reply)> done);
     void abandon(std::uint64_t correlation);
+    /// Ends a pending request. Does nothing if there is none of this number.
+    void end(std::uint64_t correlation, reply result);
     void update_silence_detection();
     /// Fails all pending requests. Those whose frames were not among the first @p handed_to_socket of the
     /// connection were not sent.
@@ -128,23 +130,30 @@
 }
 
 void peer_link::state::on_reply(frame received) {
-    const auto it = received.correlation == 0 ? pending.end() : pending.find(received.correlation);
-    if (it == pending.end()) {
-        // Either a one-way frame, or a reply to a request that has timed out or was abandoned.
-        if (received.correlation == 0 && on_frame && current) {
+    if (received.correlation == 0) {
+        if (on_frame && current) {
             on_frame(current, std::move(received));
         }
         return;
     }
+    const std::uint64_t correlation = received.correlation;
+    end(correlation, {std::move(received), link_failure::lost});
+}
+
+void peer_link::state::end(std::uint64_t correlation, reply result) {
+    const auto it = pending.find(correlation);
+    if (it == pending.end()) {
+        return; // has timed out or was abandoned
+    }
     const auto done = std::move(it->second.done);
     deadlines.erase(it->second.deadline);
     pending.erase(it);
     update_silence_detection();
-    done({std::move(received), link_failure::lost});
+    done(std::move(result));
 }
 
 std::uint64_t peer_link::state::request(frame outgoing, duration timeout, std::function<void(reply)> done) {
-    if (!is_up || !current) {
+    if (!is_up || !current || outgoing.payload.size() > max_payload_bytes) {
         asio::post(context, [done = std::move(done)] { done({std::nullopt, link_failure::not_sent}); });
         return 0;
     }
@@ -245,6 +254,14 @@
     state_->abandon(correlation);
 }
 
+void peer_link::fail(std::uint64_t correlation) {
+    state_->end(correlation, {std::nullopt, link_failure::lost});
+}
+
+bool peer_link::awaits(std::uint64_t correlation) const {
+    return state_->pending.contains(correlation);
+}
+
 void peer_link::notify(frame outgoing) {
     if (state_->ready && state_->current) {
         outgoing.correlation = 0;
--- a/src/transport/stream_connection.cpp
+++ b/src/transport/stream_connection.cpp
@@ -63,7 +63,7 @@
 }
 
 void stream_connection::send(frame outgoing) {
-    if (!open_) {
+    if (!open_ || outgoing.payload.size() > max_payload_bytes) {
         return;
     }
     if (pending_.size() + outgoing.payload.size() > settings_.max_unsent_bytes) {
@@ -81,6 +81,14 @@
     }
 }
 
+void stream_connection::after_written(std::function<void()> done) {
+    if (written_ == queued_) {
+        asio::post(socket_.get_executor(), std::move(done));
+    } else if (open_) {
+        write_observers_.emplace_back(queued_, std::move(done));
+    }
+}
+
 void stream_connection::write() {
     // Frames queued during the last write are sent together in one system call.
     if (deflater_) {
@@ -106,9 +114,19 @@
         fail(false);
         return;
     }
+    written_ = handed_to_socket_;
     if (open_ && !pending_.empty()) {
         write();
     }
+    call_write_observers();
+}
+
+void stream_connection::call_write_observers() {
+    while (!write_observers_.empty() && write_observers_.front().first <= written_) {
+        const auto done = std::move(write_observers_.front().second);
+        write_observers_.pop_front();
+        done();
+    }
 }
 
 void stream_connection::read() {
@@ -228,6 +246,7 @@
     asio::error_code ec;
     heartbeat_timer_.cancel(ec);
     socket_.close(ec);
+    write_observers_.clear();
     // The callbacks hold a reference to the owner; releasing them breaks the cycle.
     const auto callbacks = std::exchange(callbacks_, {});
     if (callbacks.on_closed) {
--- a/src/transport/stream_connection.h
+++ b/src/transport/stream_connection.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace kingcupseam::transport {
@@ -32,6 +33,7 @@
     void set_silence_detection(bool enabled);
 
     void send(frame outgoing) override;
+    void after_written(std::function<void()> done) override;
     const peer_identity& peer() const override { return peer_; }
     bool open() const override { return open_; }
 
@@ -53,6 +55,7 @@
     void handle_hello(const frame& received);
     void write();
     void on_written(const asio::error_code& ec, std::size_t n);
+    void call_write_observers();
     void schedule_heartbeat();
     void on_heartbeat_due();
     void set_silent(bool value);
@@ -79,6 +82,9 @@
     time_point last_sent_;
     std::uint64_t queued_ = 0;
     std::uint64_t handed_to_socket_ = 0;
+    std::uint64_t written_ = 0; ///< frames
+    /// By the number of frames that have to be written first.
+    std::deque<std::pair<std::uint64_t, std::function<void()>>> write_observers_;
     std::uint64_t bytes_sent_ = 0;
     std::uint64_t bytes_received_ = 0;
     bool open_ = false;
--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -24,6 +24,7 @@
                                                             : outgoing.payload);
         goes_back = goes_back || held.index < before;
     }
+    void after_written(std::function<void()> /*done*/) override {}
     const transport::peer_identity& peer() const override { return peer_; }
     bool open() const override { return true; }
 
--- a/tests/transport/link_test.cpp
+++ b/tests/transport/link_test.cpp
@@ -85,6 +85,20 @@
             }
             CHECK(run_until(context, [&] { return matched == 100; }));
         }
+        // Guards against the end of a process that is asked to send more than a frame holds.
+        SUBCASE("a request that is too long for a frame fails as not_sent, and the link stays up") {
+            std::optional<reply> result;
+            to_peer.request({frame_type::forward_request, 0, std::string(max_payload_bytes + 1, 'x')}, 1s,
+                            [&](reply it) { result = std::move(it); });
+            to_peer.notify({frame_type::forward_request, 0, std::string(max_payload_bytes + 1, 'x')});
+            REQUIRE(run_until(context, [&] { return result.has_value(); }));
+            CHECK(result->failure == link_failure::not_sent);
+            const std::string longest(max_payload_bytes, 'x');
+            bool same = false;
+            to_peer.request({frame_type::forward_request, 0, longest}, 3s,
+                            [&](const reply& it) { same = it.answer && it.answer->payload == longest; });
+            CHECK(run_until(context, [&] { return same; }));
+        }
         SUBCASE("a malformed frame closes that connection only") {
             asio::ip::tcp::socket raw(context);
             raw.connect({asio::ip::make_address(listen_address.ip), listen_address.port});
@@ -115,6 +129,36 @@
         CHECK(result->failure == link_failure::lost);
         CHECK(run_until(context, [&] { return peer.accepted >= 2 && to_peer.up(); }));
     }
+    // Guards against a sender that fills its memory because it does not learn that the peer stopped to read.
+    SUBCASE("and learns when its frames are written") {
+        asio::io_context peer_context; // does not run, so that nothing is read
+        std::shared_ptr<connection> to_reader;
+        peer_server sender(context, listen_address, identity("b"), {},
+                           [&](const std::shared_ptr<connection>& from, const frame&) { to_reader = from; });
+        peer_link reader(peer_context, listen_address, identity("a"), {}, nullptr);
+        const auto run_peer = [&] {
+            peer_context.restart();
+            peer_context.run_for(5ms);
+            return true;
+        };
+        REQUIRE(run_until(context, [&] { return run_peer() && reader.up(); }));
+        reader.notify({frame_type::forward_request, 0, "x"});
+        REQUIRE(run_until(context, [&] { return run_peer() && to_reader; }));
+        bool written = false;
+        for (int i = 0; i < 3; ++i) {
+            to_reader->send({frame_type::forward_response, 0, std::string(max_payload_bytes, 'x')});
+        }
+        to_reader->after_written([&] { written = true; });
+        context.restart();
+        context.run_for(50ms);
+        CHECK_FALSE(written);
+        CHECK(run_until(context, [&] { return run_peer() && written; }));
+        bool again = false;
+        to_reader->after_written([&] { again = true; });
+        CHECK_FALSE(again);
+        CHECK(run_until(context, [&] { return again; }));
+        to_reader.reset();
+    }
     SUBCASE("a request whose reply does not arrive in time fails as timeout") {
         peer_server peer(context, listen_address, identity("b"), {}, [](const auto&, const frame&) {});
         peer_link to_peer(context, listen_address, identity("a"), {}, nullptr);
