Directory: bound the history of control instances in bytes

Cause: the publisher kept the last 64 states, each with a configuration of its own, whatever their size. The history now ends after 64 states or 32 MiB, counts a shared configuration once and always keeps the newest. An entry that holds an older state gets the whole directory, as before beyond 64. A decoded configuration is moved into the state instead of copied.

--- a/include/kingcupseam/directory.h
+++ b/include/kingcupseam/directory.h
@@ -3,6 +3,7 @@
 #include <kingcupseam/error.h>
 #include <kingcupseam/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -139,7 +140,12 @@
 };
 
 /// @param index log index of @p change
-snapshot apply(const snapshot& before, const command& change, std::uint64_t index);
+snapshot apply(const snapshot& before, command change, std::uint64_t index);
+
+/// Estimates the memory that a configuration takes up, with its document.
+std::size_t memory_bytes(const configuration& source);
+/// Estimates the memory that a state takes up without its configuration, which other states may share.
+std::size_t memory_bytes(const snapshot& source);
 
 std::string encode(const command& source);
 /// @throws invalid_input
--- a/src/directory/snapshot.cpp
+++ b/src/directory/snapshot.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace kingcupseam::directory {
 
@@ -91,11 +92,11 @@
            !renumber_epochs;
 }
 
-snapshot apply(const snapshot& before, const command& change, std::uint64_t index) {
+snapshot apply(const snapshot& before, command change, std::uint64_t index) {
     snapshot result = before;
     result.index = index;
     if (change.config && (!result.config || result.config->version < change.config->version)) {
-        result.config = std::make_shared<const configuration>(*change.config);
+        result.config = std::make_shared<const configuration>(std::move(*change.config));
     }
     for (const auto& it : change.upstreams) {
         put_upstream(result.upstreams, it);
--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -10,8 +10,6 @@
 // Updates that are sent before other work of the thread goes on: the compression of a large one for all
 // entries may take longer than the leader's lease.
 constexpr std::size_t max_updates_per_turn = 8;
-// More changes than are made while the entries subscribe to another control instance.
-constexpr std::size_t max_history = 64;
 // Smaller updates are compressed by the links alone.
 constexpr std::size_t min_compressed_bytes = 4 * 1024;
 
@@ -26,10 +24,7 @@
 
 void directory_publisher::publish(directory::snapshot_ptr current) {
     current_ = std::move(current);
-    history_.insert_or_assign(current_->index, current_);
-    while (history_.size() > max_history) {
-        history_.erase(history_.begin());
-    }
+    history_.add(current_);
     schedule_flush(batch_interval);
 }
 
@@ -82,7 +77,7 @@
     if (base < target_->index) {
         auto [known, added] = updates_.try_emplace(base);
         if (added) {
-            known->second = make_update(history_.at(base).get());
+            known->second = make_update(&history_.at(base));
         }
         send(peer, known->second, to.expands);
     }
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "router/directory_history.h"
 #include "router/task_times.h"
 
 #include <kingcupseam/directory.h>
@@ -56,9 +57,9 @@
     directory::snapshot_ptr target_ = current_; ///< sent to all subscribers in the current round
     std::size_t round_left_ = 0;                ///< subscribers that the current round has not visited yet
     bool has_new_subscriber_ = false;           ///< since the round began
-    std::map<std::uint64_t, directory::snapshot_ptr> history_; ///< recent directories by index
-    std::map<std::uint64_t, update> updates_;                  ///< to the target, by index of the known one
-    update whole_; ///< a recent directory for subscribers that hold none
+    directory_history history_;
+    std::map<std::uint64_t, update> updates_; ///< to the target, by index of the known one
+    update whole_;                            ///< a recent directory for subscribers that hold none
     std::uint64_t whole_index_ = 0;
     std::map<std::string, subscriber> subscribers_; ///< by instance name
     std::string last_visited_; ///< subscriber after which the next turn begins, so that all get their turn
