--- a/include/kingcupseam/storage.h
+++ b/include/kingcupseam/storage.h
@@ -67,6 +67,8 @@
     virtual std::optional<std::uint64_t> term_at(std::uint64_t index) const = 0;
     /// Entries from @p first on, with at most @p max_bytes of data, but at least one entry if there is one.
     virtual std::vector<entry> entries(std::uint64_t first, std::size_t max_bytes) const = 0;
+    /// Bytes of data of all entries kept.
+    virtual std::size_t entry_bytes() const = 0;
     /// Appends @p batch.
     /// @throws invalid_input unless it continues the log without a gap
     virtual void append(std::span<const entry> batch) = 0;
--- a/src/app/instance/replicated_group.cpp
+++ b/src/app/instance/replicated_group.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint64_t entries_before_snapshot = 1000;
+// Each entry may hold a whole configuration of some MiB, and at a start the log is in memory twice.
+constexpr std::size_t entry_bytes_before_snapshot = std::size_t{16} * 1024 * 1024;
 constexpr duration proposal_timeout = std::chrono::seconds(2);
 
 /// Restores the state machine from the stored snapshot before the node delivers the entries after it, and
@@ -109,7 +111,10 @@
 }
 
 void replicated_group::compact_if_needed() {
-    if (applied_ + 1 > store_->first_index() + entries_before_snapshot) {
+    const bool many = applied_ + 1 > store_->first_index() + entries_before_snapshot;
+    const bool large =
+        applied_ >= store_->first_index() && store_->entry_bytes() > entry_bytes_before_snapshot;
+    if (many || large) {
         node_.compact(applied_, machine_.save());
     }
 }
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -1,7 +1,6 @@
 #include "consensus/state.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace kingcupseam::consensus {
 
@@ -18,9 +17,12 @@
     const auto base = store.load_snapshot();
     memberships.emplace_back(base ? base->index : 0,
                              base ? decode_membership(base->membership) : membership{});
-    for (const auto& it : store.entries(store.first_index(), std::numeric_limits<std::size_t>::max())) {
-        if (it.kind == storage::entry_kind::membership) {
-            add_membership(it.index, decode_membership(it.data));
+    for (std::uint64_t next = store.first_index(); next <= store.last_index();) {
+        for (const auto& it : store.entries(next, settings.max_append_bytes)) {
+            if (it.kind == storage::entry_kind::membership) {
+                add_membership(it.index, decode_membership(it.data));
+            }
+            next = it.index + 1;
         }
     }
 }
--- a/src/storage/file_log_store.cpp
+++ b/src/storage/file_log_store.cpp
@@ -48,6 +48,7 @@
     std::vector<entry> entries(std::uint64_t first, std::size_t max_bytes) const override {
         return image_.read(first, max_bytes);
     }
+    std::size_t entry_bytes() const override { return image_.entry_bytes; }
     std::optional<snapshot> load_snapshot() const override { return image_.base; }
 
     void save_hard_state(const hard_state& state) override {
--- a/src/storage/log_image.h
+++ b/src/storage/log_image.h
@@ -12,6 +12,7 @@
     hard_state state;
     std::optional<snapshot> base; ///< state before the first entry
     std::deque<entry> entries;
+    std::size_t entry_bytes = 0; ///< of the data of all entries
 
     std::uint64_t base_index() const { return base ? base->index : 0; }
     std::uint64_t last_index() const { return base_index() + entries.size(); }
--- a/src/storage/memory_log_store.cpp
+++ b/src/storage/memory_log_store.cpp
@@ -20,6 +20,7 @@
     std::vector<entry> entries(std::uint64_t first, std::size_t max_bytes) const override {
         return image_.read(first, max_bytes);
     }
+    std::size_t entry_bytes() const override { return image_.entry_bytes; }
     void append(std::span<const entry> batch) override {
         if (!image_.continues(batch)) {
             throw invalid_input("log store", "index", "must continue the log without a gap");
--- a/tests/storage/storage_test.cpp
+++ b/tests/storage/storage_test.cpp
@@ -51,11 +51,15 @@
     CHECK(store.entries(1, 1).size() == 1);
     CHECK(store.entries(1, 1 << 20).size() == 8);
     CHECK(store.entries(9, 100).empty());
+    const std::size_t bytes = std::string("command 1").size();
+    CHECK(store.entry_bytes() == 8 * bytes);
     store.truncate_after(7);
     CHECK(store.last_index() == 7);
+    CHECK(store.entry_bytes() == 7 * bytes);
     store.save_snapshot({5, 1, "members", "state"});
     CHECK(store.first_index() == 6);
     CHECK(store.last_index() == 7);
+    CHECK(store.entry_bytes() == 2 * bytes);
     CHECK(store.term_at(5) == 1);
     CHECK_FALSE(store.term_at(4).has_value());
     CHECK(store.entries(5, 100).empty());
@@ -64,6 +68,7 @@
     CHECK(store.first_index() == 8);
     CHECK(store.last_index() == 7);
     CHECK(store.term_at(7) == 9);
+    CHECK(store.entry_bytes() == 0);
 }
 
 } // namespace
@@ -101,6 +106,7 @@
     CHECK(store->last_index() == 6);
     CHECK(store->term_at(4) == 3);
     CHECK(store->term_at(5) == 4);
+    CHECK(store->entry_bytes() == 4 * std::string("command 3").size());
 
     SUBCASE("a store in a new folder has another identity, so a voter that lost its disk is a new member") {
         CHECK(open_file_log_store(folder.path / "other")->identity() != identity);
