--- a/tests/router/directory_memory_test.cpp
+++ b/tests/router/directory_memory_test.cpp
@@ -24,6 +24,7 @@
         held = directory::apply_difference(held, outgoing.payload);
         bytes += outgoing.payload.size();
     }
+    void after_written(std::function<void()> /*done*/) override {}
     const transport::peer_identity& peer() const override { return peer_; }
     bool open() const override { return true; }
 
