--- /dev/null
+++ b/tests/platform/process_end_log_test.cpp
@@ -0,0 +1,20 @@
+#include "platform/single_process.h"
+
+#include <csignal>
+
+namespace kingcupseam::platform::test {
+
+// Guards against a process that ends without a line from which an engineer learns why.
+TEST_CASE("the log tells why a process ended") {
+    for (const std::string role : {"entry", "control"}) {
+        CAPTURE(role);
+        single_process it(role);
+        it.start();
+        REQUIRE(it.logs("started name=p"));
+        it.process().signal(SIGABRT);
+        CHECK(it.process().wait(std::chrono::seconds(5)) == -SIGABRT);
+        CHECK(it.logs(R"("process":"p","message":"process ended signal=6")"));
+    }
+}
+
+} // namespace kingcupseam::platform::test
--- a/tests/support/process_cluster.h
+++ b/tests/support/process_cluster.h
@@ -9,6 +9,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -25,11 +26,33 @@
 
 namespace kingcupseam::test {
 
+/// What a process finds when it starts.
+struct child_surroundings {
+    int output = -1;                              ///< descriptor for its output; -1: the log file
+    std::optional<std::size_t> max_descriptors;   ///< RLIMIT_NOFILE
+    std::optional<std::size_t> max_file_bytes;    ///< RLIMIT_FSIZE; its log counts as well, pass an output
+    std::optional<std::size_t> max_address_bytes; ///< RLIMIT_AS
+
+    /// Called in the child, before the program is executed.
+    void apply_limits() const {
+        const auto set = [](auto which, const std::optional<std::size_t>& value) {
+            if (value) {
+                const rlimit limit{*value, *value};
+                ::setrlimit(which, &limit);
+            }
+        };
+        set(RLIMIT_NOFILE, max_descriptors);
+        set(RLIMIT_FSIZE, max_file_bytes);
+        set(RLIMIT_AS, max_address_bytes);
+    }
+};
+
 /// A process of the binary under test that writes its output to a log file. It is killed when this object is
 /// destroyed or the thread that started it ends.
 class child_process {
 public:
-    child_process(std::vector<std::string> arguments, const std::string& log) {
+    child_process(std::vector<std::string> arguments, const std::string& log,
+                  const child_surroundings& surroundings = {}) {
         arguments.insert(arguments.begin(), KINGCUPSEAM_BINARY);
         std::vector<char*> argv;
         argv.reserve(arguments.size() + 1);
@@ -43,12 +66,15 @@
         if (pid_ == 0) {
             // The child is killed when the test run is killed.
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+            const int out = surroundings.output >= 0
+                                ? surroundings.output
+                                : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
             const int in = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
             if (::getppid() == parent && out >= 0 && in >= 0) {
                 ::dup2(in, 0);
                 ::dup2(out, 1);
                 ::dup2(out, 2);
+                surroundings.apply_limits();
                 ::execv(argv[0], argv.data());
             }
             ::_exit(127);
