Processes: hold signals until their handlers are installed

The program blocks SIGHUP, SIGTERM and SIGINT before the constructors of its libraries and delivers them once the handlers are installed. What remains is the time in the dynamic loader. `serve` ended by SIGHUP at any time; it now logs that settings take effect at the next start. Control instances handle stop signals on the traffic thread, since the control thread may wait for its disk.

--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -5,6 +5,8 @@
 #include "app/instance/gate.h"
 #include "app/worker.h"
 
+#include <kingcupseam/lifecycle.h>
+
 #include <spdlog/spdlog.h>
 
 namespace kingcupseam::app {
@@ -25,6 +27,7 @@
 
 private:
     void submit_to_gate(const wire::ForwardRequest& request, gate_reply reply);
+    void on_reload(const asio::error_code& ec);
     void start_shutdown();
     void poll_shutdown();
     void finish_shutdown();
@@ -41,6 +44,7 @@
     std::unique_ptr<entry> entry_;
     std::unique_ptr<control_plane> control_;
     asio::signal_set signals_{control_worker_.io, SIGTERM, SIGINT};
+    asio::signal_set reload_signals_{control_worker_.io, SIGHUP};
     asio::steady_timer shutdown_timer_{control_worker_.io};
     time_point shutdown_deadline_;
     std::atomic<std::size_t> entry_in_flight_{0};
@@ -85,14 +89,23 @@
     });
     spdlog::info("started instance={} data_center={} incarnation={}", settings_.name, settings_.data_center,
                  incarnation_);
+    reload_signals_.async_wait([this](const asio::error_code& ec, int) { on_reload(ec); });
     gate_worker_.start();
     entry_worker_.start();
+    lifecycle::accept_signals();
     control_worker_.io.run();
     entry_worker_.stop();
     gate_worker_.stop();
     spdlog::info("stopped instance={}", settings_.name);
 }
 
+void instance::on_reload(const asio::error_code& ec) {
+    if (!ec) {
+        spdlog::warn("settings not reloaded: they take effect at the next start");
+        reload_signals_.async_wait([this](const asio::error_code& next, int) { on_reload(next); });
+    }
+}
+
 void instance::start_shutdown() {
     spdlog::info("stopping instance={}", settings_.name);
     shutdown_deadline_ = steady_now() + settings_.shutdown_grace;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include "commands.h"
 
 #include <kingcupseam/error.h>
+#include <kingcupseam/lifecycle.h>
 
 #include <array>
 #include <cstdio>
@@ -17,13 +18,14 @@
     std::string_view name;
     std::string_view summary;
     int (*run)(const arguments&);
+    bool accepts_signals = false; ///< the command itself, once its handlers are installed
 };
 
 constexpr std::array<command, 9> commands{{
-    {"serve", "run an instance", run_serve},
-    {"entry", "run an entry on the provider's machines", kingcupseam::platform::run_entry_command},
+    {"serve", "run an instance", run_serve, true},
+    {"entry", "run an entry on the provider's machines", kingcupseam::platform::run_entry_command, true},
     {"control", "run a control instance on the provider's machines",
-     kingcupseam::platform::run_control_command},
+     kingcupseam::platform::run_control_command, true},
     {"check", "validate settings, profiles and state charts", run_check},
     {"profile", "accept, show, list or compare profiles", run_profile},
     {"status", "show owners, gates, groups and instances", run_status},
@@ -51,6 +53,9 @@
     }
     for (const auto& it : commands) {
         if (it.name == args.front()) {
+            if (!it.accepts_signals) {
+                kingcupseam::lifecycle::accept_signals();
+            }
             return it.run({args.begin() + 1, args.end()});
         }
     }
@@ -59,6 +64,10 @@
     return exit_invalid_input;
 }
 
+// Runs before the constructors of the shared libraries, which take most of the time until main().
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const before_constructors)() = kingcupseam::lifecycle::hold_signals;
+
 } // namespace
 
 int main(int argc, char** argv) {
--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -8,6 +8,8 @@
 #include "router/seed_watcher.h"
 #include "router/upstream_client.h"
 
+#include <kingcupseam/lifecycle.h>
+
 #include <spdlog/spdlog.h>
 
 #include <csignal>
@@ -86,7 +88,7 @@
     std::unique_ptr<app::http_server> server_;
     std::unique_ptr<app::http_server> metrics_;
     seed_watcher seed_watcher_;
-    asio::signal_set signals_{control_.io, SIGTERM, SIGINT};
+    asio::signal_set signals_{traffic_.io, SIGTERM, SIGINT}; // the control thread may wait for its disk
 };
 
 control_process::control_process(const settings_source& read_settings, const protocol_adapter& protocol)
@@ -145,11 +147,13 @@
     spdlog::info("control instance started name={} data_center={}", settings_.name, settings_.data_center);
     signals_.async_wait([this](const asio::error_code& ec, int) {
         if (!ec) {
-            spdlog::info("control instance stopped");
+            spdlog::info("control instance stopping");
+            lifecycle::request_stop();
             control_.io.stop();
         }
     });
     traffic_.start();
+    lifecycle::accept_signals();
     control_.io.run();
     traffic_.stop();
 }
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -9,6 +9,8 @@
 #include "router/metrics_server.h"
 #include "router/seed_watcher.h"
 
+#include <kingcupseam/lifecycle.h>
+
 #include <spdlog/spdlog.h>
 
 #include <atomic>
@@ -204,6 +206,7 @@
     });
     schedule_report();
     traffic_.start();
+    lifecycle::accept_signals();
     control_.io.run();
     traffic_.stop();
 }
