--- a/include/kingcupseam/lifecycle.h
+++ b/include/kingcupseam/lifecycle.h
@@ -19,6 +19,10 @@
 /// Delivers the signals that were held. Called on the thread that handles them, once all handlers are
 /// installed.
 void accept_signals() noexcept;
+/// Makes writes report what would end the process by a signal: a reader that has gone (EPIPE), a limit on the
+/// size of files (EFBIG).
+void report_write_errors() noexcept;
+
 /// Records that the process is to stop. Thread-safe.
 void request_stop() noexcept;
 /// True after request_stop(), or while a held signal asks the process to stop. Waits that may be long check
--- a/src/lifecycle/signals.cpp
+++ b/src/lifecycle/signals.cpp
@@ -33,6 +33,11 @@
     ::pthread_sigmask(SIG_UNBLOCK, &held, nullptr);
 }
 
+void report_write_errors() noexcept {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
+}
+
 void request_stop() noexcept {
     stop_requested_flag = true;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -53,6 +53,7 @@
     }
     for (const auto& it : commands) {
         if (it.name == args.front()) {
+            kingcupseam::lifecycle::report_write_errors();
             if (!it.accepts_signals) {
                 kingcupseam::lifecycle::accept_signals();
             }
