--- a/tests/support/process_cluster.h
+++ b/tests/support/process_cluster.h
@@ -74,6 +74,8 @@
                 ::dup2(in, 0);
                 ::dup2(out, 1);
                 ::dup2(out, 2);
+                // The test's own sockets would keep their ports in use.
+                ::close_range(3, ~0U, 0);
                 surroundings.apply_limits();
                 ::execv(argv[0], argv.data());
             }
