Servers: go on accepting after a connection that could not be accepted

Callers, upstreams and load balancers could not connect any more, for good, after a process had run out of descriptors once.

Cause: RESTinio's acceptor does not accept again after a failed accept. One listener accepts for all servers and links now; RESTinio keeps the connections.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -36,7 +36,7 @@
 kingcupseam_library(ledger types)
 kingcupseam_library(admission types)
 kingcupseam_library(transport types consensus wire)
-target_link_libraries(kingcupseam_transport PUBLIC ZLIB::ZLIB)
+target_link_libraries(kingcupseam_transport PUBLIC ZLIB::ZLIB spdlog::spdlog fmt::fmt)
 
 kingcupseam_library(app types lifecycle metrics statechart profile settings consensus membership ownership hot_keys ledger admission transport)
 if(TARGET kingcupseam_app)
--- a/src/app/http_server.cpp
+++ b/src/app/http_server.cpp
@@ -1,9 +1,13 @@
 #include "app/http_server.h"
 
+#include "transport/listener.h"
+
 #include <restinio/all.hpp>
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 #include <string_view>
 
 namespace kingcupseam::app {
@@ -17,28 +21,31 @@
 
 namespace {
 
-/// Reports closed connections to the owner of the server.
-class close_listener {
+/// Reports accepted and closed connections to the server.
+class connection_listener {
 public:
-    explicit close_listener(std::function<void(std::uint64_t)> on_closed)
-        : on_closed_(std::move(on_closed)) {}
+    using observer = std::function<void(std::uint64_t connection, bool open)>;
+    explicit connection_listener(observer on_change) : on_change_(std::move(on_change)) {}
     void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
-        if (on_closed_ && restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
-            on_closed_(notice.connection_id());
+        if (restinio::holds_alternative<restinio::connection_state::accepted_t>(notice.cause())) {
+            on_change_(notice.connection_id(), true);
+        } else if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+            on_change_(notice.connection_id(), false);
         }
     }
 
 private:
-    std::function<void(std::uint64_t)> on_closed_;
+    observer on_change_;
 };
 
 struct server_traits : restinio::default_single_thread_traits_t {
-    using connection_state_listener_t = close_listener;
+    using connection_state_listener_t = connection_listener;
     using request_handler_t =
         std::function<restinio::request_handling_status_t(std::shared_ptr<restinio::request_t>)>;
 };
 
-using restinio_server = restinio::http_server_t<server_traits>;
+using connection_factory = restinio::impl::connection_factory_t<server_traits>;
+using connection_settings = restinio::impl::connection_settings_t<server_traits>;
 
 constexpr std::size_t max_header_count = 64;
 constexpr std::size_t max_target_bytes = 8 * 1024;
@@ -82,10 +89,9 @@
     builder.done();
 }
 
-auto make_settings(const http_server_options& options, http_handler handler) {
+auto make_settings(const http_server_options& options, connection_listener::observer on_change,
+                   http_handler handler) {
     return restinio::server_settings_t<server_traits>{}
-        .address(options.listen.ip)
-        .port(options.listen.port)
         .max_pipelined_requests(options.max_pipelined)
         .read_next_http_message_timelimit(options.idle_timeout)
         .handle_request_timeout(handler_timeout)
@@ -96,7 +102,7 @@
                                       .max_url_size(max_target_bytes))
         .socket_options_setter(
             [](restinio::socket_options_t& it) { it.set_option(asio::ip::tcp::no_delay{true}); })
-        .connection_state_listener(std::make_shared<close_listener>(options.on_connection_closed))
+        .connection_state_listener(std::make_shared<connection_listener>(std::move(on_change)))
         .request_handler([handler = std::move(handler)](const restinio::request_handle_t& request) {
             handler(to_http_request(*request),
                     [request](http_response response) { send_response(request, std::move(response)); });
@@ -131,22 +137,83 @@
     return find_header(headers, name);
 }
 
-struct http_server::state {
-    state(asio::io_context& context, const http_server_options& options, http_handler handler)
-        : server(restinio::external_io_context(context), make_settings(options, std::move(handler))) {}
-
-    restinio_server server;
+// Connections are RESTinio's. Its acceptor stops for good after one connection that could not be accepted, so
+// the listener is the project's.
+struct http_server::state : std::enable_shared_from_this<http_server::state> {
+    void open(asio::io_context& context, const http_server_options& options, http_handler handler);
+    void on_connection(asio::ip::tcp::socket socket);
+    void on_connection_change(std::uint64_t connection, bool is_open);
+
+    std::function<void(std::uint64_t)> on_closed;
+    std::set<std::uint64_t> open_connections;
+    std::shared_ptr<server_traits::timer_manager_t> timer_manager;
+    std::unique_ptr<connection_factory> factory;
+    std::unique_ptr<transport::listener> accepting;
 };
 
+void http_server::state::open(asio::io_context& context, const http_server_options& options,
+                              http_handler handler) {
+    on_closed = options.on_connection_closed;
+    auto settings = make_settings(
+        options,
+        // Connections may outlive the server.
+        [weak = weak_from_this()](std::uint64_t connection, bool is_open) {
+            if (const auto it = weak.lock()) {
+                it->on_connection_change(connection, is_open);
+            }
+        },
+        std::move(handler));
+    timer_manager = settings.timer_factory()->create(context);
+    timer_manager->start();
+    factory = std::make_unique<connection_factory>(
+        std::make_shared<connection_settings>(
+            settings, restinio::impl::create_parser_settings<server_traits::http_methods_mapper_t>(),
+            timer_manager),
+        settings.socket_options_setter());
+    accepting = std::make_unique<transport::listener>(
+        context, transport::listener_options{options.name, options.listen, options.max_connections},
+        [this](asio::ip::tcp::socket socket) { on_connection(std::move(socket)); });
+}
+
+void http_server::state::on_connection(asio::ip::tcp::socket socket) {
+    const std::size_t before = open_connections.size();
+    try {
+        const auto remote = socket.remote_endpoint();
+        factory->create_new_connection(std::move(socket), remote, {nullptr})->init();
+    } catch (const std::exception& e) { // for example the peer has reset it
+        spdlog::debug("connection not served problem=\"{}\"", e.what());
+        if (open_connections.size() == before) {
+            accepting->connection_closed();
+        }
+    }
+}
+
+void http_server::state::on_connection_change(std::uint64_t connection, bool is_open) {
+    if (is_open) {
+        open_connections.insert(connection);
+    } else if (open_connections.erase(connection) > 0) {
+        accepting->connection_closed();
+        if (on_closed) {
+            on_closed(connection);
+        }
+    }
+}
+
 http_server::http_server(asio::io_context& context, const http_server_options& settings, http_handler handler)
-    : state_(std::make_unique<state>(context, settings, std::move(handler))) {
-    state_->server.open_sync();
+    : state_(std::make_shared<state>()) {
+    state_->open(context, settings, std::move(handler));
 }
 
-http_server::~http_server() = default;
+http_server::~http_server() {
+    state_->timer_manager->stop();
+}
 
 void http_server::stop_accepting() {
-    state_->server.close_sync();
+    state_->accepting->close();
+}
+
+bool http_server::accepting() const {
+    return state_->accepting->accepting();
 }
 
 } // namespace kingcupseam::app
--- a/src/app/http_server.h
+++ b/src/app/http_server.h
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -50,7 +51,10 @@
 using http_handler = std::function<void(http_request, http_reply)>;
 
 struct http_server_options {
+    std::string name; ///< what is served, for the log
     endpoint_address listen;
+    /// Further connections wait in the kernel's queue until one of these has closed.
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
     std::size_t max_body_bytes = 1024 * 1024;
     std::size_t max_header_bytes = 16 * 1024; ///< length of a single header's value
     /// Requests that are read from a connection before the first one is answered. With 1 the server reads
@@ -73,10 +77,12 @@
 
     /// Closes the listening socket; requests in progress are still answered.
     void stop_accepting();
+    /// True while new connections are accepted at once.
+    bool accepting() const;
 
 private:
     struct state;
-    std::unique_ptr<state> state_;
+    std::shared_ptr<state> state_;
 };
 
 } // namespace kingcupseam::app
--- a/src/app/instance/control_plane.cpp
+++ b/src/app/instance/control_plane.cpp
@@ -66,7 +66,7 @@
         context, settings.peer_listen,
         [this](const endpoint_address& from, std::string_view payload) { on_datagram(from, payload); });
     upstream_listener_ = std::make_unique<http_server>(
-        context, http_server_options{settings.upstream_listen},
+        context, http_server_options{.name = "upstreams", .listen = settings.upstream_listen},
         [this](const http_request& request, const http_reply& reply) { on_announce(request, reply); });
     operator_api_ = std::make_unique<operator_api>(shared_, global_, data_center_, view_);
     schedule_tick();
--- a/src/app/instance/entry.cpp
+++ b/src/app/instance/entry.cpp
@@ -38,7 +38,7 @@
       mesh_(context, {{settings.name, incarnation}, settings.data_center},
             {settings.heartbeat_interval, settings.heartbeat_timeout}, [](const auto&, const auto&) {}) {
     server_ = std::make_unique<http_server>(
-        context, http_server_options{settings.caller_listen},
+        context, http_server_options{.name = "callers", .listen = settings.caller_listen},
         [this](const http_request& request, http_reply reply) { handle(request, std::move(reply)); });
 }
 
--- a/src/app/instance/operator_api.cpp
+++ b/src/app/instance/operator_api.cpp
@@ -148,7 +148,7 @@
                            const routing_view& view)
     : shared_(shared), global_(global), data_center_(data_center), view_(view) {
     server_ = std::make_unique<http_server>(
-        shared.io, http_server_options{shared.settings.operator_listen},
+        shared.io, http_server_options{.name = "operators", .listen = shared.settings.operator_listen},
         [this](const http_request& request, const http_reply& reply) { handle(request, reply); });
 }
 
--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -3,6 +3,7 @@
 #include "app/http_server.h"
 #include "app/worker.h"
 #include "router/control_node.h"
+#include "router/descriptor_limits.h"
 #include "router/memory_limits.h"
 #include "router/metrics_server.h"
 #include "router/seed_watcher.h"
@@ -100,6 +101,8 @@
         [this](const key_ranges::call& call, on_call_result done) { send_call(call, std::move(done)); });
     metrics_ = make_metrics_server(traffic_.io, settings_, registry_);
     app::http_server_options options;
+    options.name = "control";
+    options.max_connections = max_caller_connections(descriptor_limit());
     options.listen = settings_.control.value();
     options.max_body_bytes = max_order_bytes;
     server_ = std::make_unique<app::http_server>(
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -3,6 +3,7 @@
 #include "app/http_server.h"
 #include "app/worker.h"
 #include "router/control_links.h"
+#include "router/descriptor_limits.h"
 #include "router/dispatcher.h"
 #include "router/gate_links.h"
 #include "router/memory_limits.h"
@@ -130,7 +131,9 @@
 
 void entry_process::make_servers(const protocol_adapter& protocol) {
     app::http_server_options options;
+    options.name = "callers";
     options.listen = settings_.callers.value();
+    options.max_connections = max_caller_connections(descriptor_limit());
     options.max_body_bytes = std::size_t{64} * 1024 * 1024;
     options.max_pipelined = max_pipelined;
     options.on_connection_closed = [this](std::uint64_t connection) {
@@ -142,10 +145,12 @@
             dispatcher_->handle(std::move(received), std::move(reply));
         });
     app::http_server_options readiness;
+    readiness.name = "readiness";
+    readiness.max_connections = max_service_connections(descriptor_limit());
     readiness.listen = settings_.readiness.value();
     readiness_ = std::make_unique<app::http_server>(
         traffic_.io, readiness, [this, &protocol](const app::http_request&, const app::http_reply& reply) {
-            reply(protocol.write_readiness(ready_ && !stopping_));
+            reply(protocol.write_readiness(ready_ && !stopping_ && callers_->accepting()));
         });
 }
 
--- a/src/router/metrics_server.cpp
+++ b/src/router/metrics_server.cpp
@@ -1,5 +1,6 @@
 #include "router/metrics_server.h"
 
+#include "router/descriptor_limits.h"
 #include "router/log.h"
 
 namespace kingcupseam::router {
@@ -11,6 +12,8 @@
         return nullptr;
     }
     app::http_server_options options;
+    options.name = "metrics";
+    options.max_connections = max_service_connections(descriptor_limit());
     options.listen = {settings.ip, settings.metrics_port};
     return std::make_unique<app::http_server>(
         context, options, [&registry](const app::http_request&, const app::http_reply& reply) {
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -1,3 +1,4 @@
+#include "transport/listener.h"
 #include "transport/stream_connection.h"
 
 #include <set>
@@ -6,17 +7,14 @@
 namespace kingcupseam::transport {
 
 struct peer_server::state : std::enable_shared_from_this<peer_server::state> {
-    state(asio::io_context& context, peer_identity self_identity, link_options link_settings,
-          frame_handler handler)
-        : acceptor(context), self(std::move(self_identity)), settings(link_settings),
-          on_frame(std::move(handler)) {}
+    state(peer_identity self_identity, link_options link_settings, frame_handler handler)
+        : self(std::move(self_identity)), settings(link_settings), on_frame(std::move(handler)) {}
 
-    void listen(const endpoint_address& address);
-    void accept();
+    void listen(asio::io_context& context, const endpoint_address& address);
     void add(asio::ip::tcp::socket socket);
     void stop();
 
-    asio::ip::tcp::acceptor acceptor;
+    std::unique_ptr<listener> accepting;
     peer_identity self;
     link_options settings;
     frame_handler on_frame;
@@ -28,29 +26,13 @@
     bool stopped = false;
 };
 
-void peer_server::state::listen(const endpoint_address& address) {
-    const asio::ip::tcp::endpoint local(asio::ip::make_address(address.ip), address.port);
-    try {
-        acceptor.open(local.protocol());
-        acceptor.set_option(asio::socket_base::reuse_address(true));
-        acceptor.bind(local);
-        acceptor.listen();
-    } catch (const asio::system_error& e) {
-        throw io_error(to_string(address), "listen", e.code().value());
-    }
-}
-
-void peer_server::state::accept() {
-    acceptor.async_accept(
-        [it = shared_from_this()](const asio::error_code& ec, asio::ip::tcp::socket socket) {
-            if (it->stopped) {
-                return;
-            }
-            if (!ec) {
-                it->add(std::move(socket));
-            }
-            it->accept();
-        });
+void peer_server::state::listen(asio::io_context& context, const endpoint_address& address) {
+    accepting = std::make_unique<listener>(context, listener_options{"links", address},
+                                           [weak = weak_from_this()](asio::ip::tcp::socket socket) {
+                                               if (const auto it = weak.lock(); it && !it->stopped) {
+                                                   it->add(std::move(socket));
+                                               }
+                                           });
 }
 
 void peer_server::state::add(asio::ip::tcp::socket socket) {
@@ -70,6 +52,7 @@
                           it->closed_bytes_sent += closed->bytes_sent();
                           it->closed_bytes_received += closed->bytes_received();
                           it->connections.erase(closed);
+                          it->accepting->connection_closed();
                           if (it->on_disconnect && !it->stopped) {
                               it->on_disconnect(closed);
                           }
@@ -79,8 +62,7 @@
 
 void peer_server::state::stop() {
     stopped = true;
-    asio::error_code ec;
-    acceptor.close(ec);
+    accepting->close();
     const auto closing = std::exchange(connections, {});
     for (const auto& it : closing) {
         it->close();
@@ -89,9 +71,8 @@
 
 peer_server::peer_server(asio::io_context& context, const endpoint_address& listen, peer_identity self,
                          link_options settings, frame_handler on_frame)
-    : state_(std::make_shared<state>(context, std::move(self), settings, std::move(on_frame))) {
-    state_->listen(listen);
-    state_->accept();
+    : state_(std::make_shared<state>(std::move(self), settings, std::move(on_frame))) {
+    state_->listen(context, listen);
 }
 
 peer_server::~peer_server() {
