Servers: listen at a port once it is free

A port that another socket held for a moment, for example an outgoing connection or the predecessor, ended a starting process with code 1 and a text that named neither the server nor, mostly, the address (7 of 7 ports).

Sockets that connect allow a listener at their local port, so an own connection does not take a port any more.

--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -76,6 +76,7 @@
         return;
     }
     const time_point begun = steady_now();
+    transport::open_for_connect(socket_, remote);
     socket_.async_connect(remote, [it = shared_from_this(), begun](const asio::error_code& failed) {
         if (it->closed_) {
             return;
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -1,3 +1,4 @@
+#include "transport/socket_options.h"
 #include "transport/stream_connection.h"
 
 #include <map>
@@ -70,6 +71,7 @@
         }
     });
     const asio::ip::tcp::endpoint target(asio::ip::make_address(remote.ip), remote.port);
+    open_for_connect(*socket, target);
     socket->async_connect(target, [it = shared_from_this(), socket, timer](const asio::error_code& ec) {
         timer->cancel();
         it->on_connected(ec, std::move(*socket));
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -14,6 +14,11 @@
 constexpr duration retry_interval = std::chrono::milliseconds(100);
 constexpr int retries_per_log_line = 100; // a line each 10 s
 
+/// True for an address that another socket holds, or that the machine does not have yet.
+bool may_become_free(const asio::error_code& ec) {
+    return ec == asio::error::address_in_use || ec.value() == EADDRNOTAVAIL;
+}
+
 } // namespace
 
 struct listener::state : std::enable_shared_from_this<listener::state> {
@@ -67,7 +72,16 @@
 void listener::state::listen() {
     const asio::error_code ec = try_listen();
     if (ec) {
-        throw io_error(options.server + " at " + to_string(options.address), "listen", ec.value());
+        if (!may_become_free(ec)) {
+            throw io_error(options.server + " at " + to_string(options.address), "listen", ec.value());
+        }
+        log_failure("listen", ec);
+        retry_later(&state::listen);
+        return;
+    }
+    if (failures > 0) {
+        spdlog::info("listening server={} address={} after_failures={}", options.server,
+                     to_string(options.address), std::exchange(failures, 0));
     }
     accept();
 }
--- a/src/transport/listener.h
+++ b/src/transport/listener.h
@@ -18,14 +18,14 @@
     std::size_t max_connections = std::numeric_limits<std::size_t>::max();
 };
 
-/// Accepts TCP connections at one address. A connection that cannot be accepted, for example for want of
-/// descriptors, is tried again after a pause.
+/// Accepts TCP connections at one address. An address that is taken is tried again until it is free, and a
+/// connection that cannot be accepted, for example for want of descriptors, is tried again after a pause.
 /// All members must be called on the thread of the io_context.
 class listener {
 public:
     using accept_handler = std::function<void(asio::ip::tcp::socket)>;
 
-    /// @throws io_error if the address cannot be listened at
+    /// @throws io_error if the address can never be listened at
     listener(asio::io_context& context, listener_options options, accept_handler on_connection);
     ~listener();
     listener(const listener&) = delete;
--- a/src/transport/socket_options.h
+++ b/src/transport/socket_options.h
@@ -20,4 +20,14 @@
         ignored);
 }
 
+/// Opens a socket to connect with. Its local port may be one at which a server of this machine is to listen;
+/// without the option that server could not bind it. An error is reported by the connect.
+inline void open_for_connect(asio::ip::tcp::socket& socket, const asio::ip::tcp::endpoint& remote) {
+    asio::error_code ec;
+    socket.open(remote.protocol(), ec);
+    if (!ec) {
+        socket.set_option(asio::socket_base::reuse_address(true), ec);
+    }
+}
+
 } // namespace kingcupseam::transport
