--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -3,11 +3,14 @@
 #include "app/http_server.h"
 #include "app/worker.h"
 #include "router/control_node.h"
+#include "router/descriptor_limits.h"
 #include "router/memory_limits.h"
 #include "router/metrics_server.h"
 #include "router/seed_watcher.h"
 #include "router/upstream_client.h"
 
+#include <kingcupseam/lifecycle.h>
+
 #include <spdlog/spdlog.h>
 
 #include <csignal>
@@ -86,7 +89,7 @@
     std::unique_ptr<app::http_server> server_;
     std::unique_ptr<app::http_server> metrics_;
     seed_watcher seed_watcher_;
-    asio::signal_set signals_{control_.io, SIGTERM, SIGINT};
+    asio::signal_set signals_{traffic_.io, SIGTERM, SIGINT}; // the control thread may wait for its disk
 };
 
 control_process::control_process(const settings_source& read_settings, const protocol_adapter& protocol)
@@ -98,6 +101,8 @@
         [this](const key_ranges::call& call, on_call_result done) { send_call(call, std::move(done)); });
     metrics_ = make_metrics_server(traffic_.io, settings_, registry_);
     app::http_server_options options;
+    options.name = "control";
+    options.max_connections = max_caller_connections(descriptor_limit());
     options.listen = settings_.control.value();
     options.max_body_bytes = max_order_bytes;
     server_ = std::make_unique<app::http_server>(
@@ -145,11 +150,13 @@
     spdlog::info("control instance started name={} data_center={}", settings_.name, settings_.data_center);
     signals_.async_wait([this](const asio::error_code& ec, int) {
         if (!ec) {
-            spdlog::info("control instance stopped");
+            spdlog::info("control instance stopping");
+            lifecycle::request_stop();
             control_.io.stop();
         }
     });
     traffic_.start();
+    lifecycle::accept_signals();
     control_.io.run();
     traffic_.stop();
 }
