Log: output that nobody reads does not keep a process from ending

With standard output on a pipe that nobody reads, entries and control instances served but ran on after SIGTERM: the thread of the log was blocked in write(), and exit() waits for that thread.

The log has a library of its own, `logging`. Its sink waits for room by poll(), writes at most PIPE_BUF bytes at a time, and drops and counts a line on a write error. When the process ends, waiting lines have 200 ms in total, then they are dropped. O_NONBLOCK is not set, since the file description may be shared. Where write() blocks all the same (a terminal that takes part of a line, another writer that takes the room), main() ends without waiting for the thread. spdlog's error handler, which writes to standard error, counts the line as dropped instead. `log_lines_dropped` counts failed writes too; it stayed at 0 when the reader had ended.

Tests: the unread pipe, the unread terminal and the metric after the reader's end fail on the former binary, each for both roles; the terminal also without the _Exit() in main(). The test of json_escape moves with the code, unchanged.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,9 +3,11 @@
 
 #include <kingcupseam/error.h>
 #include <kingcupseam/lifecycle.h>
+#include <kingcupseam/logging.h>
 
 #include <array>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <string>
 #include <string_view>
@@ -72,13 +74,18 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    int code = exit_success;
     try {
-        return dispatch(arguments(argv + 1, argv + argc));
+        code = dispatch(arguments(argv + 1, argv + argc));
     } catch (const kingcupseam::invalid_input& e) {
         std::fprintf(stderr, "kingcupseam: %s\n", e.what());
-        return exit_invalid_input;
+        code = exit_invalid_input;
     } catch (const std::exception& e) {
         std::fprintf(stderr, "kingcupseam: %s\n", e.what());
-        return exit_failure;
+        code = exit_failure;
+    }
+    if (!kingcupseam::logging::finish()) {
+        std::_Exit(code); // exit() would wait for the thread of the log
     }
+    return code;
 }
--- a/src/router/metrics_server.cpp
+++ b/src/router/metrics_server.cpp
@@ -1,6 +1,6 @@
 #include "router/metrics_server.h"
 
-#include "router/log.h"
+#include <kingcupseam/logging.h>
 
 namespace kingcupseam::router {
 
@@ -14,8 +14,8 @@
     options.listen = {settings.ip, settings.metrics_port};
     return std::make_unique<app::http_server>(
         context, options, [&registry](const app::http_request&, const app::http_reply& reply) {
-            registry.gauge_of("log_lines_dropped", "log lines dropped because the reader was slow")
-                .set(static_cast<std::int64_t>(dropped_log_lines()));
+            registry.gauge_of("log_lines_dropped", "log lines that the output did not take")
+                .set(static_cast<std::int64_t>(logging::dropped_lines()));
             reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, registry.prometheus_text(), false});
         });
 }
--- a/tests/router/log_test.cpp
+++ b/tests/logging/json_escape_test.cpp
@@ -1,8 +1,8 @@
-#include "router/log.h"
+#include <kingcupseam/logging.h>
 
 #include <doctest/doctest.h>
 
-namespace kingcupseam::router {
+namespace kingcupseam::logging {
 
 // Guards against log lines that JSON parsers reject: messages quote error texts, ids and addresses.
 TEST_CASE("the message of a log line is escaped for JSON") {
@@ -11,4 +11,4 @@
     CHECK(json_escape("a\nb\x01") == "a\\u000ab\\u0001");
 }
 
-} // namespace kingcupseam::router
+} // namespace kingcupseam::logging
--- a/tests/platform/output_test.cpp
+++ b/tests/platform/output_test.cpp
@@ -1,9 +1,12 @@
 #include "platform/single_process.h"
+#include "support/unread_pipe.h"
 
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <array>
 #include <csignal>
+#include <cstdlib>
 
 namespace kingcupseam::platform::test {
 
@@ -22,9 +25,74 @@
         ::usleep(200'000);
         it.process().signal(SIGHUP);
         CHECK_FALSE(it.process().wait(milliseconds(300)));
+        const answer metrics =
+            http_caller().send("GET", it.ip() + ":" + std::to_string(it.metrics_port), "/");
+        CHECK(metrics.status == 200);
+        CHECK(metrics.body.find("log_lines_dropped") != std::string::npos);
+        CHECK(metrics.body.find("log_lines_dropped 0") == std::string::npos);
         it.process().signal(SIGTERM);
         CHECK(it.process().wait(std::chrono::seconds(6)) == 0);
     }
 }
 
+// Guards against a log thread that waits for a reader forever: the process served, but ran on after SIGTERM.
+TEST_CASE("a process whose output nobody reads serves and ends within its grace period") {
+    for (const std::string role : {"entry", "control"}) {
+        CAPTURE(role);
+        const unread_pipe output;
+        output.fill();
+        child_surroundings surroundings;
+        surroundings.output = output.write_end();
+        single_process it(role);
+        it.start(surroundings);
+        http_caller caller;
+        const auto serves = [&] {
+            const auto answers = [&](std::uint16_t port) {
+                return caller.send("GET", it.ip() + ":" + std::to_string(port), "/").status != 0;
+            };
+            return answers(it.metrics_port) &&
+                   answers(role == "entry" ? it.readiness_port : it.operator_port);
+        };
+        REQUIRE(process_cluster::wait_until(serves, std::chrono::seconds(5)));
+        for (int n = 0; n < 100; ++n) {
+            it.process().signal(SIGHUP);
+            ::usleep(1000);
+        }
+        CHECK(serves());
+        it.process().signal(SIGTERM);
+        CHECK(it.process().wait(std::chrono::seconds(6)) == 0);
+    }
+}
+
+// Guards against a log thread that is stuck in write(): a terminal reports room for a line, but takes a part.
+TEST_CASE("a process whose terminal nobody reads ends within its grace period") {
+    for (const std::string role : {"entry", "control"}) {
+        CAPTURE(role);
+        const int terminal = ::posix_openpt(O_RDWR | O_NOCTTY | O_CLOEXEC);
+        REQUIRE(terminal >= 0);
+        REQUIRE(::unlockpt(terminal) == 0);
+        std::array<char, 64> name{};
+        REQUIRE(::ptsname_r(terminal, name.data(), name.size()) == 0);
+        child_surroundings surroundings;
+        surroundings.output = ::open(name.data(), O_RDWR | O_NOCTTY | O_CLOEXEC);
+        REQUIRE(surroundings.output >= 0);
+        single_process it(role);
+        it.start(surroundings);
+        http_caller caller;
+        const auto serves = [&] {
+            return caller.send("GET", it.ip() + ":" + std::to_string(it.metrics_port), "/").status == 200;
+        };
+        REQUIRE(process_cluster::wait_until(serves, std::chrono::seconds(5)));
+        for (int n = 0; n < 500; ++n) {
+            it.process().signal(SIGHUP);
+            ::usleep(1000);
+        }
+        CHECK(serves());
+        it.process().signal(SIGTERM);
+        CHECK(it.process().wait(std::chrono::seconds(6)) == 0);
+        ::close(surroundings.output);
+        ::close(terminal);
+    }
+}
+
 } // namespace kingcupseam::platform::test
