Serve: log from a thread of its own

`serve` wrote its log from the threads that answer requests. With standard output on a pipe that nobody reads, its first line stopped it: /live was not answered for 5 s, and after SIGTERM it still ran 6 s later.

It uses the log of entries and control instances now, with its two formats, and has the metric `log_lines_dropped`. In the format `json` the message is escaped; a message with a quote or a backslash was no valid JSON before.

Tests: the unread pipe fails on the former binary in both formats. The test of the formats passes on it; it guards the change.

--- a/src/app/instance/operator_api.cpp
+++ b/src/app/instance/operator_api.cpp
@@ -3,6 +3,7 @@
 #include "app/instance/replica_name.h"
 
 #include <kingcupseam/error.h>
+#include <kingcupseam/logging.h>
 #include <kingcupseam/profile.h>
 
 #include <nlohmann/json.hpp>
@@ -170,6 +171,8 @@
     } else if (!authorized(request)) {
         reply(problem_response(401, "Authorization: Bearer TOKEN is missing or wrong"));
     } else if (path == "/metrics") {
+        shared_.registry.gauge_of("log_lines_dropped", "log lines that the output did not take")
+            .set(static_cast<std::int64_t>(logging::dropped_lines()));
         reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, shared_.registry.prometheus_text()});
     } else if (path == "/v1/status") {
         reply(status());
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -2,6 +2,7 @@
 #include "app/instance/instance.h"
 
 #include <kingcupseam/error.h>
+#include <kingcupseam/logging.h>
 #include <kingcupseam/settings.h>
 
 #include <boost/program_options.hpp>
@@ -23,13 +24,13 @@
     return result;
 }
 
-void configure_log(const settings::instance_settings& settings) {
-    spdlog::set_level(spdlog::level::from_str(settings.log_level));
+void start_log(const settings::instance_settings& settings) {
     if (settings.log == settings::log_format::json) {
-        spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","thread":%t,"message":"%v"})");
+        logging::start(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","thread":%t,"message":"%*"})");
     } else {
-        spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e%z %l " + settings.name + " %v");
+        logging::start("%Y-%m-%dT%H:%M:%S.%e%z %l " + settings.name + " %v");
     }
+    spdlog::set_level(spdlog::level::from_str(settings.log_level));
 }
 
 } // namespace
@@ -48,7 +49,7 @@
         throw invalid_input("command line", "serve", e.what());
     }
     const auto settings = settings::load_settings(values["config"].as<std::string>());
-    configure_log(settings);
+    start_log(settings);
     run_instance(settings);
     return exit_success;
 }
--- a/tests/support/process_cluster.h
+++ b/tests/support/process_cluster.h
@@ -274,10 +274,10 @@
         INFO(seen);
         REQUIRE(owned);
     }
-    void start(instance& it) {
+    void start(instance& it, const child_surroundings& surroundings = {}) {
         const auto file = folder_.write(it.name + ".toml", settings_of(it));
         it.process = std::make_unique<child_process>(std::vector<std::string>{"serve", "--config", file},
-                                                     path(it.name + ".log"));
+                                                     path(it.name + ".log"), surroundings);
     }
     void start(upstream& it) {
         std::string announce_to;
