Main: an error message that nobody reads does not keep a process from ending

A process that could not start, with standard error on a full pipe that nobody reads, stayed in write() and never ended, so the supervisor saw a process that runs.

Test: fails on the former binary, which still ran 3 s later (seen for `entry`, at which the test ends).

--- a/include/kingcupseam/logging.h
+++ b/include/kingcupseam/logging.h
@@ -24,6 +24,9 @@
 /// @returns false if the thread of the log is stuck: waiting for it, as exit() does, may take forever
 bool finish();
 
+/// Writes an error message to standard error; drops it if the reader doesn't take it within max_end_wait.
+void print_error(std::string_view text);
+
 /// Escapes a text for a JSON string.
 std::string json_escape(std::string_view text);
 
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <kingcupseam/error.h>
+
 #include <string>
 #include <vector>
 
@@ -14,6 +16,11 @@
 inline constexpr int exit_failure = 1;
 inline constexpr int exit_invalid_input = 2; ///< invalid command line, settings, profile or chart
 
+/// Exit code of a command that ends with the exception.
+inline int exit_code(const std::exception& problem) noexcept {
+    return dynamic_cast<const invalid_input*>(&problem) != nullptr ? exit_invalid_input : exit_failure;
+}
+
 int run_serve(const arguments& args);
 int run_check(const arguments& args);
 int run_profile(const arguments& args);
--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -84,4 +84,10 @@
     return sink->wait_for_flush(max_end_wait + max_drop_time);
 }
 
+void print_error(std::string_view text) {
+    bounded_writer out(STDERR_FILENO);
+    out.end_at(steady_now() + max_end_wait);
+    out.write(text);
+}
+
 } // namespace kingcupseam::logging
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,6 @@
 #include "app/commands.h"
 #include "commands.h"
 
-#include <kingcupseam/error.h>
 #include <kingcupseam/lifecycle.h>
 #include <kingcupseam/logging.h>
 
@@ -77,12 +76,9 @@
     int code = exit_success;
     try {
         code = dispatch(arguments(argv + 1, argv + argc));
-    } catch (const kingcupseam::invalid_input& e) {
-        std::fprintf(stderr, "kingcupseam: %s\n", e.what());
-        code = exit_invalid_input;
     } catch (const std::exception& e) {
-        std::fprintf(stderr, "kingcupseam: %s\n", e.what());
-        code = exit_failure;
+        code = exit_code(e);
+        kingcupseam::logging::print_error("kingcupseam: " + std::string(e.what()) + "\n");
     }
     if (!kingcupseam::logging::finish()) {
         std::_Exit(code); // exit() would wait for the thread of the log
--- a/tests/platform/output_test.cpp
+++ b/tests/platform/output_test.cpp
@@ -95,4 +95,20 @@
     }
 }
 
+// Guards against an error message on standard error, the same unread pipe, that keeps the process from
+// ending.
+TEST_CASE("a process that can't start ends although nobody reads its output") {
+    for (const std::string role : {"entry", "control", "serve"}) {
+        CAPTURE(role);
+        const unread_pipe output;
+        output.fill();
+        child_surroundings surroundings;
+        surroundings.output = output.write_end();
+        child_process it({role, "--config", "/nonexistent/settings.toml"}, {}, surroundings);
+        const auto code = it.wait(std::chrono::seconds(3));
+        REQUIRE(code);
+        CHECK(*code > 0);
+    }
+}
+
 } // namespace kingcupseam::platform::test
