Processes: the log begins with facts about the process, and `serve` logs why it ended

A log told neither which process and release wrote it nor its limits, and `serve` had no line for its end.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -43,6 +43,9 @@
 kingcupseam_library(app types lifecycle logging metrics statechart profile settings consensus membership ownership hot_keys ledger admission transport)
 if(TARGET kingcupseam_app)
   target_link_libraries(kingcupseam_app PUBLIC CURL::libcurl Boost::program_options fmt::fmt spdlog::spdlog http_parser)
+  # For one file alone, so that a new version doesn't build everything anew.
+  set_source_files_properties(src/app/process_run.cpp PROPERTIES
+    COMPILE_DEFINITIONS KINGCUPSEAM_VERSION="${PROJECT_VERSION}")
 endif()
 
 kingcupseam_library(router app directory key_ranges)
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,5 +1,6 @@
 #include "app/commands.h"
 #include "app/instance/instance.h"
+#include "app/process_run.h"
 
 #include <kingcupseam/error.h>
 #include <kingcupseam/logging.h>
@@ -50,8 +51,7 @@
     }
     const auto settings = settings::load_settings(values["config"].as<std::string>());
     start_log(settings);
-    run_instance(settings);
-    return exit_success;
+    return run_logged({"serve", settings.name}, [&] { run_instance(settings); });
 }
 
 } // namespace kingcupseam::app
