--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -12,6 +12,8 @@
 add_library(kingcupseam_wire INTERFACE)
 target_link_libraries(kingcupseam_wire INTERFACE kingcupseam_options kingcupseam_error kingcupseam_generated)
 kingcupseam_library(lifecycle error)
+kingcupseam_library(logging types)
+target_link_libraries(kingcupseam_logging PUBLIC fmt::fmt spdlog::spdlog)
 kingcupseam_library(config types)
 kingcupseam_library(metrics types)
 kingcupseam_library(statechart config)
@@ -38,9 +40,12 @@
 kingcupseam_library(transport types consensus wire)
 target_link_libraries(kingcupseam_transport PUBLIC ZLIB::ZLIB spdlog::spdlog fmt::fmt)
 
-kingcupseam_library(app types lifecycle metrics statechart profile settings consensus membership ownership hot_keys ledger admission transport)
+kingcupseam_library(app types lifecycle logging metrics statechart profile settings consensus membership ownership hot_keys ledger admission transport)
 if(TARGET kingcupseam_app)
   target_link_libraries(kingcupseam_app PUBLIC CURL::libcurl Boost::program_options fmt::fmt spdlog::spdlog http_parser)
+  # For one file alone, so that a new version doesn't build everything anew.
+  set_source_files_properties(src/app/process_run.cpp PROPERTIES
+    COMPILE_DEFINITIONS KINGCUPSEAM_VERSION="${PROJECT_VERSION}")
 endif()
 
 kingcupseam_library(router app directory key_ranges)
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,11 +1,12 @@
 #include "app/commands.h"
 #include "commands.h"
 
-#include <kingcupseam/error.h>
 #include <kingcupseam/lifecycle.h>
+#include <kingcupseam/logging.h>
 
 #include <array>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <string>
 #include <string_view>
@@ -72,13 +73,15 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    int code = exit_success;
     try {
-        return dispatch(arguments(argv + 1, argv + argc));
-    } catch (const kingcupseam::invalid_input& e) {
-        std::fprintf(stderr, "kingcupseam: %s\n", e.what());
-        return exit_invalid_input;
+        code = dispatch(arguments(argv + 1, argv + argc));
     } catch (const std::exception& e) {
-        std::fprintf(stderr, "kingcupseam: %s\n", e.what());
-        return exit_failure;
+        code = exit_code(e);
+        kingcupseam::logging::print_error("kingcupseam: " + std::string(e.what()) + "\n");
+    }
+    if (!kingcupseam::logging::finish()) {
+        std::_Exit(code); // exit() would wait for the thread of the log
     }
+    return code;
 }
