Storage: a limit on the size of files is waited for like a full disk

A control instance whose files reach RLIMIT_FSIZE ended: first by SIGXFSZ, and since that signal is ignored with code 1, as write() fails with EFBIG and only ENOSPC and EDQUOT are waited for.

EFBIG leaves the file as a full disk does: a part of the record may have been written, which the retry removes before it appends again.

Limits of test processes are soft now, so that a test can lift them.

--- a/src/storage/file_log_store.cpp
+++ b/src/storage/file_log_store.cpp
@@ -18,8 +18,9 @@
     return value;
 }
 
+/// EFBIG: the process's limit on the size of files, which can be lifted while it runs.
 bool is_full(const io_error& failure) {
-    return failure.code() == ENOSPC || failure.code() == EDQUOT;
+    return failure.code() == ENOSPC || failure.code() == EDQUOT || failure.code() == EFBIG;
 }
 
 /// Each write appends one record to the file "log". Creation and snapshots write "log.new" and rename it, so
--- a/tests/support/process_cluster.h
+++ b/tests/support/process_cluster.h
@@ -35,9 +35,11 @@
 
     /// Called in the child, before the program is executed.
     void apply_limits() const {
+        // Only the soft limit, so that a test can lift it again.
         const auto set = [](auto which, const std::optional<std::size_t>& value) {
-            if (value) {
-                const rlimit limit{*value, *value};
+            rlimit limit{};
+            if (value && ::getrlimit(which, &limit) == 0) {
+                limit.rlim_cur = *value;
                 ::setrlimit(which, &limit);
             }
         };
