Storage: a data folder in use is waited for

A control instance that started while its predecessor still held the data folder tried the lock once and ended with code 1.

No file is touched before the lock is held.

The fakes of the storage tests follow the renamed interface; their checks are the same.

--- a/include/kingcupseam/storage.h
+++ b/include/kingcupseam/storage.h
@@ -84,25 +84,32 @@
 /// @param identity incarnation number of the process
 std::unique_ptr<log_store> make_memory_log_store(std::uint64_t identity);
 
-/// Decides what a store does while its disk is full. A write that failed for this reason has no effect.
-class full_disk_policy {
+/// Why a store cannot go on.
+enum class obstacle : std::uint8_t {
+    folder_in_use, ///< another process has the folder open
+    disk_full
+};
+
+/// Decides how long a store waits for its folder and its disk.
+class wait_policy {
 public:
-    full_disk_policy() = default;
-    full_disk_policy(const full_disk_policy&) = delete;
-    full_disk_policy& operator=(const full_disk_policy&) = delete;
-    virtual ~full_disk_policy() = default;
-
-    /// Called on the writing thread after each write that failed because the disk is full.
-    /// @returns true to retry the write, false to let the store fail with @p failure
-    virtual bool wait_for_space(const io_error& failure) = 0;
-    /// Called when a retried write has succeeded.
-    virtual void on_space_available() = 0;
+    wait_policy() = default;
+    wait_policy(const wait_policy&) = delete;
+    wait_policy& operator=(const wait_policy&) = delete;
+    virtual ~wait_policy() = default;
+
+    /// Called after each failed attempt, on the thread that opens the store or writes. What it throws ends
+    /// the call of the store.
+    /// @returns true to try again, false to let the store fail with @p failure
+    virtual bool wait(obstacle reason, const io_error& failure) = 0;
+    /// Called when an attempt after a wait has succeeded.
+    virtual void on_resumed() = 0;
 };
 
 /// Opens or creates a store in @p folder. Removes an incomplete last write.
-/// @param on_full if null, a full disk is handled like any other failure
+/// @param waits if null, the store waits for nothing
 /// @throws corrupt_log; io_error, also if another process has the folder open
 std::unique_ptr<log_store> open_file_log_store(const std::filesystem::path& folder,
-                                               std::shared_ptr<full_disk_policy> on_full = nullptr);
+                                               std::shared_ptr<wait_policy> waits = nullptr);
 
 } // namespace kingcupseam::storage
--- a/src/router/control_orders.cpp
+++ b/src/router/control_orders.cpp
@@ -1,6 +1,6 @@
 #include "router/control_orders.h"
 
-#include "router/full_disk_wait.h"
+#include "app/instance/storage_wait.h"
 
 #include <kingcupseam/error.h>
 #include <kingcupseam/transport.h>
@@ -81,7 +81,7 @@
     }
     const bool founder = std::filesystem::exists(marker);
     member_store result;
-    result.store = storage::open_file_log_store(folder / "log", std::make_shared<full_disk_wait>());
+    result.store = storage::open_file_log_store(folder / "log", std::make_shared<app::storage_wait>());
     result.self = {own_name, founder ? 0 : result.store->identity()};
     if (founder && result.store->last_index() == 0 && !result.store->load_snapshot() && bootstrap) {
         consensus::membership members;
--- a/src/storage/file_log_store.cpp
+++ b/src/storage/file_log_store.cpp
@@ -18,9 +18,18 @@
     return value;
 }
 
-/// EFBIG: the process's limit on the size of files, which can be lifted while it runs.
-bool is_full(const io_error& failure) {
-    return failure.code() == ENOSPC || failure.code() == EDQUOT || failure.code() == EFBIG;
+/// What a failure waits for; empty if the store must fail.
+std::optional<obstacle> obstacle_of(const io_error& failure) {
+    switch (failure.code()) {
+    case EWOULDBLOCK: // of the lock of the folder
+        return obstacle::folder_in_use;
+    case ENOSPC:
+    case EDQUOT:
+    case EFBIG: // the process's limit on the size of files, which can be lifted while it runs
+        return obstacle::disk_full;
+    default:
+        return std::nullopt;
+    }
 }
 
 /// Each write appends one record to the file "log". Creation and snapshots write "log.new" and rename it, so
@@ -28,11 +37,11 @@
 class file_log_store final : public log_store {
 public:
     file_log_store(std::shared_ptr<file_system> files, std::filesystem::path folder,
-                   std::shared_ptr<full_disk_policy> on_full)
-        : files_(std::move(files)), on_full_(std::move(on_full)), folder_(std::move(folder)),
+                   std::shared_ptr<wait_policy> waits)
+        : files_(std::move(files)), waits_(std::move(waits)), folder_(std::move(folder)),
           path_(folder_ / "log") {
         files_->create_folder(folder_);
-        lock_ = files_->lock_folder(folder_);
+        retry([&] { lock_ = files_->lock_folder(folder_); });
         if (const auto content = files_->read(path_)) {
             recover(*content);
         } else {
@@ -103,7 +112,7 @@
         add_record(bytes, payload, image_.identity + size_);
         usable_ = false;
         bool again = false;
-        retry_while_disk_full([&] {
+        retry([&] {
             if (again) {
                 file_->truncate(size_); // removes a partial record of the failed append
             }
@@ -115,23 +124,24 @@
         usable_ = true;
     }
 
-    /// Repeats @p step while the disk is full and the policy asks for a retry.
+    /// Repeats @p step while the policy asks for it.
     template <typename Step>
-    void retry_while_disk_full(const Step& step) {
+    void retry(const Step& step) {
         bool waited = false;
         for (;;) {
             try {
                 step();
                 break;
             } catch (const io_error& e) {
-                if (!is_full(e) || !on_full_ || !on_full_->wait_for_space(e)) {
+                const auto reason = obstacle_of(e);
+                if (!reason || !waits_ || !waits_->wait(*reason, e)) {
                     throw;
                 }
                 waited = true;
             }
         }
         if (waited) {
-            on_full_->on_space_available();
+            waits_->on_resumed();
         }
     }
 
@@ -156,7 +166,7 @@
         const auto next = folder_ / "log.new";
         usable_ = false;
         std::unique_ptr<log_file> file;
-        retry_while_disk_full([&] {
+        retry([&] {
             file = files_->open(next, true);
             file->append(bytes);
         });
@@ -169,7 +179,7 @@
     }
 
     std::shared_ptr<file_system> files_;
-    std::shared_ptr<full_disk_policy> on_full_;
+    std::shared_ptr<wait_policy> waits_;
     std::filesystem::path folder_;
     std::filesystem::path path_;
     std::shared_ptr<void> lock_;
@@ -183,13 +193,13 @@
 
 std::unique_ptr<log_store> open_log_store_on(std::shared_ptr<file_system> files,
                                              const std::filesystem::path& folder,
-                                             std::shared_ptr<full_disk_policy> on_full) {
-    return std::make_unique<file_log_store>(std::move(files), folder, std::move(on_full));
+                                             std::shared_ptr<wait_policy> waits) {
+    return std::make_unique<file_log_store>(std::move(files), folder, std::move(waits));
 }
 
 std::unique_ptr<log_store> open_file_log_store(const std::filesystem::path& folder,
-                                               std::shared_ptr<full_disk_policy> on_full) {
-    return open_log_store_on(make_posix_file_system(), folder, std::move(on_full));
+                                               std::shared_ptr<wait_policy> waits) {
+    return open_log_store_on(make_posix_file_system(), folder, std::move(waits));
 }
 
 } // namespace kingcupseam::storage
--- a/src/storage/file_system.h
+++ b/src/storage/file_system.h
@@ -32,6 +32,7 @@
 
     virtual void create_folder(const std::filesystem::path& folder) = 0;
     /// Locks the folder exclusively until the returned object is destroyed.
+    /// @throws io_error, with EWOULDBLOCK if another process has locked it
     virtual std::shared_ptr<void> lock_folder(const std::filesystem::path& folder) = 0;
     virtual void sync_folder(const std::filesystem::path& folder) = 0;
     /// Whole content; empty if the file does not exist.
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -76,8 +76,10 @@
     }
     std::shared_ptr<void> lock_folder(const std::filesystem::path& folder) override {
         auto handle = std::make_shared<descriptor>(folder, O_RDONLY | O_DIRECTORY);
-        if (::flock(handle->get(), LOCK_EX | LOCK_NB) != 0) {
-            handle->fail("flock");
+        while (::flock(handle->get(), LOCK_EX | LOCK_NB) != 0) {
+            if (errno != EINTR) {
+                handle->fail("flock");
+            }
         }
         return handle;
     }
--- a/tests/platform/control_disk_test.cpp
+++ b/tests/platform/control_disk_test.cpp
@@ -90,4 +90,26 @@
                                       std::chrono::seconds(5)));
 }
 
+// Guards against a successor that ends while its predecessor is still stopping, and is not started again.
+TEST_CASE("a control instance waits for its data folder while another process has it open") {
+    single_process it("control");
+    it.start();
+    REQUIRE(it.logs("control instance started"));
+    const auto successor = it.start_successor();
+    CHECK(it.logs("data folder in use", std::chrono::seconds(5), "successor"));
+    CHECK_FALSE(successor->wait(milliseconds(500)));
+    SUBCASE("and starts once it is free") {
+        it.process().signal(SIGTERM);
+        CHECK(it.process().wait(std::chrono::seconds(6)) == 0);
+        CHECK(it.logs("data folder free", std::chrono::seconds(5), "successor"));
+        CHECK(it.logs("control instance started", std::chrono::seconds(5), "successor"));
+    }
+    SUBCASE("and stops with success when asked to") {
+        successor->signal(SIGTERM);
+        CHECK(successor->wait(std::chrono::seconds(6)) == 0);
+        CHECK(it.logs("process ended code=0 reason=", std::chrono::seconds(5), "successor"));
+        CHECK(it.process().running());
+    }
+}
+
 } // namespace kingcupseam::platform::test
--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -174,17 +174,18 @@
 namespace {
 
 /// Frees space at the given retry.
-class freeing_policy final : public full_disk_policy {
+class freeing_policy final : public wait_policy {
 public:
     freeing_policy(fake_disk& disk, int tries_until_room) : disk_(disk), left_(tries_until_room) {}
-    bool wait_for_space(const io_error&) override {
+    bool wait(obstacle reason, const io_error&) override {
+        CHECK(reason == obstacle::disk_full);
         ++waits;
         if (--left_ <= 0) {
             disk_.fail_at = -1;
         }
         return !gives_up;
     }
-    void on_space_available() override { ++recoveries; }
+    void on_resumed() override { ++recoveries; }
 
     int waits = 0;
     int recoveries = 0;
@@ -195,10 +196,24 @@
     int left_;
 };
 
+/// Gives up at a given wait.
+class folder_waits final : public wait_policy {
+public:
+    bool wait(obstacle reason, const io_error&) override {
+        CHECK(reason == obstacle::folder_in_use);
+        return ++waits < limit;
+    }
+    void on_resumed() override { ++recoveries; }
+
+    int waits = 0;
+    int recoveries = 0;
+    int limit = 100;
+};
+
 } // namespace
 
 // Guards against a control instance that stops and restarts repeatedly while its disk is full.
-TEST_CASE("a store with a full_disk_policy waits until a full disk has space") {
+TEST_CASE("a store with a wait_policy waits until a full disk has space") {
     fake_disk disk;
     const auto policy = std::make_shared<freeing_policy>(disk, 3);
     const auto store = open_log_store_on(non_owning(disk), "data", policy);
@@ -215,6 +230,11 @@
         const auto reopened = open_log_store_on(non_owning(disk), "data");
         CHECK(reopened->entries(1, 100) == std::vector<entry>{first.front(), second.front()});
     }
+    SUBCASE("and until a limit on the size of files is lifted") {
+        disk.error_code = EFBIG;
+        store->append(second);
+        CHECK(policy->waits == 3);
+    }
     SUBCASE("a snapshot is then durable") {
         store->save_snapshot({1, 1, "members", "state"});
         CHECK(policy->recoveries == 1);
@@ -235,6 +255,29 @@
     }
 }
 
+// Guards against a successor that ends, or opens the log, while its predecessor still writes it.
+TEST_CASE("a store waits for its folder while another process has it open") {
+    fake_disk disk;
+    disk.lock_fails = 3;
+    const auto policy = std::make_shared<folder_waits>();
+    SUBCASE("and opens it once it is free") {
+        const auto store = open_log_store_on(non_owning(disk), "data", policy);
+        CHECK(policy->waits == 3);
+        CHECK(policy->recoveries == 1);
+        store->append(std::vector<entry>{{1, 1, entry_kind::command, "one"}});
+    }
+    SUBCASE("and touches no file when the policy gives up") {
+        policy->limit = 2;
+        CHECK_THROWS_AS(open_log_store_on(non_owning(disk), "data", policy), io_error);
+        CHECK(policy->waits == 2);
+        CHECK_FALSE(disk.read("data/log"));
+        CHECK_FALSE(disk.read("data/log.new"));
+    }
+    SUBCASE("but not without a policy") {
+        CHECK_THROWS_AS(open_log_store_on(non_owning(disk), "data"), io_error);
+    }
+}
+
 // Guards against a voter that starts without a durable log.
 TEST_CASE("creating a store in a read-only folder throws io_error") {
     fake_disk disk;
--- a/tests/storage/fake_disk.h
+++ b/tests/storage/fake_disk.h
@@ -27,11 +27,16 @@
     int fail_at = -1;          ///< from this operation on, writes fail with error_code
     int fail_sync_at = -1;     ///< from this operation on, syncs fail with EIO
     int error_code = ENOSPC;   ///< ENOSPC or EROFS
+    int lock_fails = 0;        ///< attempts that find the folder locked
     bool ignores_sync = false; ///< injected bug: fsync returns without writing
     std::mt19937_64 random{1};
 
     void create_folder(const std::filesystem::path&) override { step(); }
     std::shared_ptr<void> lock_folder(const std::filesystem::path&) override {
+        if (lock_fails > 0) {
+            --lock_fails;
+            throw io_error("data", "flock", EWOULDBLOCK);
+        }
         return std::make_shared<int>(0);
     }
     void sync_folder(const std::filesystem::path& folder) override {
