Control instances: wait for a full disk until it has room or a stop is asked for

A control instance whose disk stayed full ended after 30 s with code 1, and one that was asked to stop meanwhile did not notice: the control thread slept between its tries, so the process ended at the end of the 30 s.

The wait has no limit of its own now and sees a stop request within 100 ms. When the wait ends the control thread, the traffic thread is stopped before the objects that it uses are destroyed.

--- a/src/app/instance/storage_wait.cpp
+++ b/src/app/instance/storage_wait.cpp
@@ -14,8 +14,6 @@
 // Well below an election timeout, so that it adds little to the outage.
 constexpr duration retry_interval = std::chrono::milliseconds(100);
 constexpr duration line_interval = std::chrono::seconds(10);
-// Longer than a log rotation or a cleanup by operators' tools takes.
-constexpr duration max_wait_for_space = std::chrono::seconds(30);
 
 class process_surroundings final : public wait_surroundings {
 public:
@@ -64,9 +62,6 @@
     if (surroundings_->stop_requested()) {
         throw lifecycle::stop_requested_error(failure.path());
     }
-    if (reason == storage::obstacle::disk_full && now - since_ >= max_wait_for_space) {
-        return false;
-    }
     surroundings_->sleep(retry_interval);
     return true;
 }
--- a/src/app/instance/storage_wait.h
+++ b/src/app/instance/storage_wait.h
@@ -24,7 +24,8 @@
 std::unique_ptr<wait_surroundings> make_process_surroundings();
 
 /// Blocks the calling thread while the data folder or its disk cannot be used: the member then neither votes
-/// nor acknowledges, as with a stalled disk. Logs at first and every 10 s.
+/// nor acknowledges, as with a stalled disk. Waits as long as it takes, or until the process is asked to
+/// stop. Logs at first and every 10 s.
 class storage_wait final : public storage::wait_policy {
 public:
     explicit storage_wait(std::unique_ptr<wait_surroundings> surroundings = make_process_surroundings());
--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -154,7 +154,13 @@
     });
     traffic_.start();
     lifecycle::accept_signals();
-    control_.io.run();
+    try {
+        control_.io.run();
+    } catch (...) {
+        // What the traffic thread uses is destroyed before the thread.
+        traffic_.stop();
+        throw;
+    }
     traffic_.stop();
 }
 
--- a/tests/platform/control_disk_test.cpp
+++ b/tests/platform/control_disk_test.cpp
@@ -90,6 +90,26 @@
                                       std::chrono::seconds(5)));
 }
 
+// Guards against a stop signal that a wait for the disk does not notice: the process would be killed at the
+// end of its grace period.
+TEST_CASE("a control instance that waits for its disk stops when asked to") {
+    control_with_disk it;
+    SUBCASE("while it starts") {
+        it.start_limited(0);
+    }
+    SUBCASE("while it runs") {
+        it.start_limited(20'000);
+        REQUIRE(it.accepts_within(1, std::chrono::seconds(5)));
+        int version = 1;
+        while (version < 20 && it.accepts(version + 1)) {
+            ++version;
+        }
+    }
+    CHECK_FALSE(it.instance.process().wait(milliseconds(500)));
+    it.instance.process().signal(SIGTERM);
+    CHECK(it.instance.process().wait(std::chrono::seconds(6)) == 0);
+}
+
 // Guards against a successor that ends while its predecessor is still stopping, and is not started again.
 TEST_CASE("a control instance waits for its data folder while another process has it open") {
     single_process it("control");
