Storage: after a failed write or sync, write the log to a new file and retry

A write or sync that failed for another reason than a full disk (EIO, ENOMEM, EMFILE, a file system that was remounted read-only) ended the voter, since it cannot know what reached the disk, and a later sync of the same file proves nothing: the kernel may take pages for clean that it did not write.

The image in memory has exactly what was acknowledged. It is now written to log.new, synced and renamed over the log, the folder is synced, and the record that failed is appended to the new file; this is repeated until it succeeds, or until the process is asked to stop. It is safe for consensus: nothing is acknowledged before its own record is synced, on a file none of whose syncs failed; the same record is tried until then, so that a crash finds the old log with or without it, or the new one; a file gets the name of the log only after it was synced whole.

While a store opens, failures that a wrong path or wrong permissions cause (EACCES, EROFS, ENOENT and the like) still end it at once.

--- a/fuzz/storage_log_reader.cpp
+++ b/fuzz/storage_log_reader.cpp
@@ -22,6 +22,7 @@
     explicit one_file_system(std::string content) : content_(std::move(content)) {}
     void create_folder(const std::filesystem::path&) override {}
     std::shared_ptr<void> lock_folder(const std::filesystem::path&) override { return nullptr; }
+    bool holds_lock(const std::filesystem::path&, const std::shared_ptr<void>&) override { return true; }
     void sync_folder(const std::filesystem::path&) override {}
     std::optional<std::string> read(const std::filesystem::path&) override { return content_; }
     std::unique_ptr<log_file> open(const std::filesystem::path&, bool) override {
--- a/include/kingcupseam/storage.h
+++ b/include/kingcupseam/storage.h
@@ -45,8 +45,16 @@
     corrupt_log(const std::string& path, std::uint64_t offset, const std::string& problem);
 };
 
+/// The data folder is no longer the one that the store has locked. Another process may use the one that has
+/// taken its place, so the voter must stop.
+class folder_replaced : public error {
+public:
+    explicit folder_replaced(const std::string& path);
+};
+
 /// Log, hard state and snapshot of one voter. A modifying call is durable when it returns. If it throws
-/// io_error, the store is unusable and the voter must stop, since it cannot know what reached the disk.
+/// other than invalid_input, the store is unusable and the voter must stop, since it cannot know what
+/// reached the disk.
 class log_store {
 public:
     log_store() = default;
@@ -87,7 +95,8 @@
 /// Why a store cannot go on.
 enum class obstacle : std::uint8_t {
     folder_in_use, ///< another process has the folder open
-    disk_full
+    disk_full,
+    disk_failed ///< any other failure that may pass
 };
 
 /// Decides how long a store waits for its folder and its disk.
@@ -108,7 +117,8 @@
 
 /// Opens or creates a store in @p folder. Removes an incomplete last write.
 /// @param waits if null, the store waits for nothing
-/// @throws corrupt_log; io_error, also if another process has the folder open
+/// @throws corrupt_log; io_error, also if another process has the folder open, and without a wait if the path
+/// or its permissions are wrong
 std::unique_ptr<log_store> open_file_log_store(const std::filesystem::path& folder,
                                                std::shared_ptr<wait_policy> waits = nullptr);
 
--- a/src/app/instance/storage_wait.cpp
+++ b/src/app/instance/storage_wait.cpp
@@ -13,6 +13,8 @@
 
 // Well below an election timeout, so that it adds little to the outage.
 constexpr duration retry_interval = std::chrono::milliseconds(100);
+// Each retry after a failure writes the whole log, which may have tens of MB.
+constexpr duration retry_interval_after_failure = std::chrono::milliseconds(500);
 constexpr duration line_interval = std::chrono::seconds(10);
 
 class process_surroundings final : public wait_surroundings {
@@ -38,6 +40,8 @@
         return {"data folder in use", "data folder free"};
     case storage::obstacle::disk_full:
         return {"disk full", "disk has room again"};
+    case storage::obstacle::disk_failed:
+        return {"disk failed", "disk works again"};
     }
     return {};
 }
@@ -62,7 +66,8 @@
     if (surroundings_->stop_requested()) {
         throw lifecycle::stop_requested_error(failure.path());
     }
-    surroundings_->sleep(retry_interval);
+    surroundings_->sleep(reason == storage::obstacle::disk_failed ? retry_interval_after_failure
+                                                                  : retry_interval);
     return true;
 }
 
--- a/src/storage/file_log_store.cpp
+++ b/src/storage/file_log_store.cpp
@@ -18,36 +18,65 @@
     return value;
 }
 
-/// What a failure waits for; empty if the store must fail.
-std::optional<obstacle> obstacle_of(const io_error& failure) {
+bool is_full(const io_error& failure) {
     switch (failure.code()) {
-    case EWOULDBLOCK: // of the lock of the folder
-        return obstacle::folder_in_use;
     case ENOSPC:
     case EDQUOT:
     case EFBIG: // the process's limit on the size of files, which can be lifted while it runs
-        return obstacle::disk_full;
+        return true;
     default:
-        return std::nullopt;
+        return false;
     }
 }
 
+/// True for failures that a wrong path or wrong permissions cause.
+bool is_misconfigured(const io_error& failure) {
+    switch (failure.code()) {
+    case EACCES:
+    case EPERM:
+    case EROFS:
+    case ENOENT:
+    case ENOTDIR:
+    case EISDIR:
+    case ELOOP:
+    case ENAMETOOLONG:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// What is known about the end of the log file.
+enum class log_end : std::uint8_t {
+    known,   ///< the file has exactly the image, and it is durable
+    partial, ///< a part of a record may follow, since the disk was full
+    unknown  ///< a write or sync failed, so no page since the last sync may have reached the disk
+};
+
 /// Each write appends one record to the file "log". Creation and snapshots write "log.new" and rename it, so
 /// that a crash leaves either the old or the new file.
+///
+/// The same is done when a write or sync has failed: the kernel may then take pages for clean that it did not
+/// write, and a later sync of that file proves nothing. The image has all that was acknowledged, so it is
+/// written to a file of its own, and the record that failed is appended there. Until then nothing is
+/// acknowledged, and a crash leaves either the old file, with or without that record, or the new one.
 class file_log_store final : public log_store {
 public:
     file_log_store(std::shared_ptr<file_system> files, std::filesystem::path folder,
                    std::shared_ptr<wait_policy> waits)
         : files_(std::move(files)), waits_(std::move(waits)), folder_(std::move(folder)),
           path_(folder_ / "log") {
-        files_->create_folder(folder_);
+        retry([&] { files_->create_folder(folder_); });
         retry([&] { lock_ = files_->lock_folder(folder_); });
-        if (const auto content = files_->read(path_)) {
+        std::optional<std::string> content;
+        retry([&] { content = files_->read(path_); });
+        if (content) {
             recover(*content);
         } else {
             image_.identity = random_identity();
             rewrite();
         }
+        opened_ = true;
     }
 
     std::uint64_t identity() const override { return image_.identity; }
@@ -108,20 +137,45 @@
 
     void write(const std::string& payload) {
         check_usable();
-        std::string bytes;
-        add_record(bytes, payload, image_.identity + size_);
         usable_ = false;
-        bool again = false;
         retry([&] {
-            if (again) {
-                file_->truncate(size_); // removes a partial record of the failed append
-            }
-            again = true;
-            file_->append(bytes);
+            restore_end();
+            append_record(payload);
         });
+        usable_ = true;
+    }
+
+    /// Makes the file equal to the image after a failed write.
+    void restore_end() {
+        if (end_ == log_end::partial) {
+            remove_partial_record();
+        } else if (end_ == log_end::unknown) {
+            write_image();
+        }
+    }
+
+    void remove_partial_record() {
+        try {
+            file_->truncate(size_);
+        } catch (const io_error& e) {
+            end_ = is_full(e) ? log_end::partial : log_end::unknown;
+            throw;
+        }
+    }
+
+    void append_record(const std::string& payload) {
+        std::string bytes;
+        add_record(bytes, payload, image_.identity + size_);
+        end_ = log_end::unknown;
+        try {
+            file_->append(bytes);
+        } catch (const io_error& e) {
+            end_ = is_full(e) ? log_end::partial : log_end::unknown;
+            throw;
+        }
         file_->sync();
         size_ += bytes.size();
-        usable_ = true;
+        end_ = log_end::known;
     }
 
     /// Repeats @p step while the policy asks for it.
@@ -145,6 +199,20 @@
         }
     }
 
+    /// What a failure waits for; empty if the store must fail.
+    std::optional<obstacle> obstacle_of(const io_error& failure) const {
+        if (!lock_ && failure.code() == EWOULDBLOCK) {
+            return obstacle::folder_in_use;
+        }
+        if (is_full(failure)) {
+            return obstacle::disk_full;
+        }
+        if (!opened_ && is_misconfigured(failure)) {
+            return std::nullopt;
+        }
+        return obstacle::disk_failed;
+    }
+
     std::string encode_image() const {
         std::string out;
         add_record(out, identity_payload(image_.identity), 0);
@@ -162,20 +230,32 @@
     }
 
     void rewrite() {
+        usable_ = false;
+        retry([&] { write_image(); });
+        usable_ = true;
+    }
+
+    /// Replaces the file by one that has the image.
+    void write_image() {
         const std::string bytes = encode_image();
         const auto next = folder_ / "log.new";
-        usable_ = false;
-        std::unique_ptr<log_file> file;
-        retry([&] {
-            file = files_->open(next, true);
-            file->append(bytes);
-        });
+        end_ = log_end::unknown; // after a failure the name may stand for either file
+        check_lock();
+        auto file = files_->open(next, true);
+        file->append(bytes);
         file->sync();
+        check_lock();
         files_->rename(next, path_);
         files_->sync_folder(folder_);
         file_ = std::move(file);
         size_ = bytes.size();
-        usable_ = true;
+        end_ = log_end::known;
+    }
+
+    void check_lock() const {
+        if (!files_->holds_lock(folder_, lock_)) {
+            throw folder_replaced(folder_.string());
+        }
     }
 
     std::shared_ptr<file_system> files_;
@@ -186,6 +266,8 @@
     std::unique_ptr<log_file> file_;
     log_image image_;
     std::uint64_t size_ = 0;
+    log_end end_ = log_end::known;
+    bool opened_ = false;
     bool usable_ = true;
 };
 
--- a/src/storage/file_system.h
+++ b/src/storage/file_system.h
@@ -34,6 +34,8 @@
     /// Locks the folder exclusively until the returned object is destroyed.
     /// @throws io_error, with EWOULDBLOCK if another process has locked it
     virtual std::shared_ptr<void> lock_folder(const std::filesystem::path& folder) = 0;
+    /// False if @p folder is no longer the one that @p lock was taken on.
+    virtual bool holds_lock(const std::filesystem::path& folder, const std::shared_ptr<void>& lock) = 0;
     virtual void sync_folder(const std::filesystem::path& folder) = 0;
     /// Whole content; empty if the file does not exist.
     virtual std::optional<std::string> read(const std::filesystem::path& file) = 0;
--- a/src/storage/memory_log_store.cpp
+++ b/src/storage/memory_log_store.cpp
@@ -5,6 +5,9 @@
 corrupt_log::corrupt_log(const std::string& path, std::uint64_t offset, const std::string& problem)
     : error(path + ": offset " + std::to_string(offset) + ": " + problem) {}
 
+folder_replaced::folder_replaced(const std::string& path)
+    : error(path + ": the folder was replaced or removed while it was in use") {}
+
 namespace {
 
 class memory_log_store final : public log_store {
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace kingcupseam::storage {
@@ -83,6 +84,21 @@
         }
         return handle;
     }
+    bool holds_lock(const std::filesystem::path& folder, const std::shared_ptr<void>& lock) override {
+        const auto handle = std::static_pointer_cast<descriptor>(lock);
+        struct stat locked {};
+        struct stat found {};
+        if (::fstat(handle->get(), &locked) != 0) {
+            handle->fail("fstat");
+        }
+        if (::stat(folder.c_str(), &found) != 0) {
+            if (errno == ENOENT || errno == ENOTDIR) {
+                return false;
+            }
+            handle->fail("stat");
+        }
+        return locked.st_dev == found.st_dev && locked.st_ino == found.st_ino;
+    }
     void sync_folder(const std::filesystem::path& folder) override {
         const descriptor handle(folder, O_RDONLY | O_DIRECTORY);
         if (::fsync(handle.get()) != 0) {
--- a/tests/storage/storage_test.cpp
+++ b/tests/storage/storage_test.cpp
@@ -116,6 +116,25 @@
     }
 }
 
+// Guards against a voter that writes beside another one: the lock does not cover a folder that was put in
+// place of the locked one.
+TEST_CASE("a store stops writing files once its folder is another one") {
+    const temporary_folder folder;
+    const auto data = folder.path / "data";
+    const auto store = open_file_log_store(data);
+    store->append(commands(1, 3, 1));
+    store->save_snapshot({1, 1, "members", "state"});
+    std::filesystem::rename(data, folder.path / "former");
+    SUBCASE("of the same name") {
+        std::filesystem::create_directory(data);
+        CHECK_THROWS_AS(store->save_snapshot({2, 1, "members", "state"}), folder_replaced);
+        CHECK(std::filesystem::is_empty(data));
+    }
+    SUBCASE("or missing") {
+        CHECK_THROWS_AS(store->save_snapshot({2, 1, "members", "state"}), folder_replaced);
+    }
+}
+
 // Guards against starting a voter whose log is damaged, and against refusing one that only crashed while it
 // was writing.
 TEST_CASE("damage to a log file is distinguished from an incomplete last write") {
