Storage: a start writes what it read to a new file

A store that opens synced the log that it found, since that may be in the page cache only. If a sync of its predecessor had failed, the kernel could take these pages for clean, so that the sync succeeded without writing them: the voter then acted on a term or a vote that a power loss took back.

A start now writes the content to log.new and renames it, as after a failed write. Entries get a record each there, so that no second copy of all of them is made in memory. The log is never opened for writing at its name any more, and a torn tail is left out instead of cut off.

The test of torn tails cuts the file that is there, since its size changes at each start; before, it assumed the first size.

--- a/fuzz/storage_log_reader.cpp
+++ b/fuzz/storage_log_reader.cpp
@@ -25,7 +25,7 @@
     bool holds_lock(const std::filesystem::path&, const std::shared_ptr<void>&) override { return true; }
     void sync_folder(const std::filesystem::path&) override {}
     std::optional<std::string> read(const std::filesystem::path&) override { return content_; }
-    std::unique_ptr<log_file> open(const std::filesystem::path&, bool) override {
+    std::unique_ptr<log_file> create(const std::filesystem::path&) override {
         return std::make_unique<null_file>();
     }
     void rename(const std::filesystem::path&, const std::filesystem::path&) override {}
--- a/src/storage/file_log_store.cpp
+++ b/src/storage/file_log_store.cpp
@@ -71,7 +71,7 @@
         std::optional<std::string> content;
         retry([&] { content = files_->read(path_); });
         if (content) {
-            recover(*content);
+            recover(std::move(*content));
         } else {
             image_.identity = random_identity();
             rewrite();
@@ -122,17 +122,12 @@
         }
     }
 
-    void recover(const std::string& content) {
-        scan_result result = scan_log(path_.string(), content);
-        image_ = std::move(result.image);
-        size_ = result.valid_bytes;
-        file_ = files_->open(path_, false);
-        if (size_ < content.size()) {
-            file_->truncate(size_);
-        }
-        // What was read may be only in the page cache, if a process was killed before its fsync.
-        file_->sync();
-        files_->sync_folder(folder_);
+    /// Writes what was read to a new file: it may be only in the page cache, and pages of a failed sync count
+    /// as written.
+    void recover(std::string content) {
+        image_ = scan_log(path_.string(), content);
+        content = {}; // the log is in memory twice at most
+        rewrite();
     }
 
     void write(const std::string& payload) {
@@ -223,8 +218,8 @@
         if (image_.base) {
             add(snapshot_payload(*image_.base));
         }
-        if (!image_.entries.empty()) {
-            add(entries_payload(std::vector<entry>(image_.entries.begin(), image_.entries.end())));
+        for (const entry& it : image_.entries) {
+            add(entries_payload(std::span(&it, 1)));
         }
         return out;
     }
@@ -241,7 +236,7 @@
         const auto next = folder_ / "log.new";
         end_ = log_end::unknown; // after a failure the name may stand for either file
         check_lock();
-        auto file = files_->open(next, true);
+        auto file = files_->create(next);
         file->append(bytes);
         file->sync();
         check_lock();
--- a/src/storage/file_system.h
+++ b/src/storage/file_system.h
@@ -39,9 +39,8 @@
     virtual void sync_folder(const std::filesystem::path& folder) = 0;
     /// Whole content; empty if the file does not exist.
     virtual std::optional<std::string> read(const std::filesystem::path& file) = 0;
-    /// Opens a file for appending.
-    /// @param replace creates the file if it is missing and empties it
-    virtual std::unique_ptr<log_file> open(const std::filesystem::path& file, bool replace) = 0;
+    /// Creates a file for appending, or empties the one that is there.
+    virtual std::unique_ptr<log_file> create(const std::filesystem::path& file) = 0;
     virtual void rename(const std::filesystem::path& from, const std::filesystem::path& to) = 0;
 };
 
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -127,9 +127,8 @@
             content.append(buf, 0, static_cast<std::size_t>(n));
         }
     }
-    std::unique_ptr<log_file> open(const std::filesystem::path& file, bool replace) override {
-        const int flags = O_WRONLY | O_APPEND | (replace ? O_CREAT | O_TRUNC : 0);
-        return std::make_unique<posix_file>(file, flags);
+    std::unique_ptr<log_file> create(const std::filesystem::path& file) override {
+        return std::make_unique<posix_file>(file, O_WRONLY | O_APPEND | O_CREAT | O_TRUNC);
     }
     void rename(const std::filesystem::path& from, const std::filesystem::path& to) override {
         if (::rename(from.c_str(), to.c_str()) != 0) {
--- a/src/storage/record.cpp
+++ b/src/storage/record.cpp
@@ -210,27 +210,26 @@
     out += payload;
 }
 
-scan_result scan_log(const std::string& path, std::string_view content) {
-    scan_result result;
+log_image scan_log(const std::string& path, std::string_view content) {
+    log_image result;
     std::uint64_t at = 0;
     while (at < content.size()) {
-        const std::uint64_t seed = result.image.identity + at;
+        const std::uint64_t seed = result.identity + at;
         const auto payload = intact_payload(content, at, seed);
-        if (!payload && at > 0 && !header_follows(content, at, result.image.identity)) {
+        if (!payload && at > 0 && !header_follows(content, at, result.identity)) {
             break;
         }
         if (!payload) {
             throw corrupt_log(path, at, "record failed its checksum");
         }
         reader in(path, at, *payload);
-        apply_record(result.image, in, at == 0);
+        apply_record(result, in, at == 0);
         at += header_bytes + payload->size();
     }
     if (at == 0) {
         // A new file is renamed into place only after its first record was synced, so it is never empty.
         throw corrupt_log(path, 0, "the file is empty");
     }
-    result.valid_bytes = at;
     return result;
 }
 
--- a/src/storage/record.h
+++ b/src/storage/record.h
@@ -27,15 +27,9 @@
 /// record inside user data, and records at another offset or of another store, from passing as a record.
 void add_record(std::string& out, std::string_view payload, std::uint64_t seed);
 
-/// Result of reading a log file.
-struct scan_result {
-    log_image image;
-    std::uint64_t valid_bytes = 0; ///< the rest is an incomplete last write
-};
-
-/// Reads a log file.
+/// Reads a log file without an incomplete last write.
 /// @throws corrupt_log if the damage is not confined to the last record, or if a record contradicts earlier
 /// ones
-scan_result scan_log(const std::string& path, std::string_view content);
+log_image scan_log(const std::string& path, std::string_view content);
 
 } // namespace kingcupseam::storage
--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -336,12 +336,14 @@
 
 namespace {
 
-/// Failing operations of a run, and a power loss some operations after the first one.
+/// Failing operations of a run, and a power loss some operations after the first one. What the store finds
+/// after that must also survive another power loss.
 struct fault_plan {
     int code = EIO;
     int at = 0;
     int count = 1;
     int crash_after = 0;
+    bool killed = false; ///< only the process ends; power is lost after its restart
 };
 
 /// @returns true if a workload with these faults lost acknowledged data
@@ -374,10 +376,16 @@
         // The step in progress may or may not be on the disk.
     }
     const content after = content_of(*acknowledged);
-    disk.lose_power();
+    if (plan.killed) {
+        disk.heal();
+    } else {
+        disk.lose_power();
+    }
     try {
         const content found = content_of(*open_log_store_on(non_owning(disk), "data"));
-        return found != before && found != after;
+        disk.lose_power();
+        return (found != before && found != after) ||
+               content_of(*open_log_store_on(non_owning(disk), "data")) != found;
     } catch (const corrupt_log&) {
         return true;
     }
@@ -385,6 +393,23 @@
 
 } // namespace
 
+// Guards against a voter that forgets a vote: its predecessor's sync failed, so that what it read, and acted
+// on, was in the page cache only and counted as written.
+TEST_CASE("what a store finds after a failed sync of its predecessor survives a power loss") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fake_disk disk;
+        disk.random.seed(seed);
+        auto store = open_log_store_on(non_owning(disk), "data");
+        store->save_hard_state({1, ""});
+        disk.fail_sync_at = disk.operations;
+        CHECK_THROWS_AS(store->save_hard_state({2, "x"}), io_error);
+        disk.heal();
+        const content found = content_of(*open_log_store_on(non_owning(disk), "data"));
+        disk.lose_power();
+        CHECK(content_of(*open_log_store_on(non_owning(disk), "data")) == found);
+    }
+}
+
 // Guards against a torn record, a log.new that is not complete, or an older log that is taken for the log
 // after a failure at any step of a write, of a snapshot or of the recovery from an earlier failure.
 TEST_CASE("failures at any operation, and a crash at any time after them, lose no acknowledged write") {
@@ -398,6 +423,7 @@
                 for (const int code : {EIO, ENOSPC}) {
                     for (int crash = 1; crash <= last_crash; ++crash) {
                         lost += loses_data(seed, {code, at, faults, crash}) ? 1 : 0;
+                        lost += loses_data(seed, {code, at, faults, crash, true}) ? 1 : 0;
                     }
                     lost += loses_data(seed, {code, at, faults, no_crash}) ? 1 : 0;
                 }
--- a/tests/storage/fake_disk.h
+++ b/tests/storage/fake_disk.h
@@ -75,7 +75,7 @@
         const auto it = names_.find(file.string());
         return it == names_.end() ? std::nullopt : std::optional(it->second->current);
     }
-    std::unique_ptr<storage::log_file> open(const std::filesystem::path& file, bool replace) override;
+    std::unique_ptr<storage::log_file> create(const std::filesystem::path& file) override;
     void rename(const std::filesystem::path& from, const std::filesystem::path& to) override {
         try {
             write_step(to.string());
@@ -103,8 +103,10 @@
             node->lost_from = node->lost_to = 0;
         }
         durable_names_ = names_;
-        crash_at = fail_at = fail_sync_at = fault_at = -1;
+        heal();
     }
+    /// Lets all operations succeed from here on.
+    void heal() { crash_at = fail_at = fail_sync_at = fault_at = -1; }
 
     /// Bytes of a file, for a test to damage.
     std::string& bytes(const std::string& name) { return names_.at(name)->current; }
@@ -188,15 +190,13 @@
     std::shared_ptr<fake_disk::inode> node_;
 };
 
-inline std::unique_ptr<storage::log_file> fake_disk::open(const std::filesystem::path& file, bool replace) {
+inline std::unique_ptr<storage::log_file> fake_disk::create(const std::filesystem::path& file) {
     write_step(file.string());
     auto& node = names_[file.string()];
     if (!node) {
         node = std::make_shared<inode>();
     }
-    if (replace) {
-        node->resize(0);
-    }
+    node->resize(0);
     return std::make_unique<fake_file>(*this, node);
 }
 
--- a/tests/storage/storage_test.cpp
+++ b/tests/storage/storage_test.cpp
@@ -156,7 +156,7 @@
     };
     SUBCASE("a file that ends inside the last record loses only that record") {
         for (std::uint64_t cut = 1; cut < 20; ++cut) {
-            std::filesystem::resize_file(file, size - cut);
+            std::filesystem::resize_file(file, std::filesystem::file_size(file) - cut);
             auto store = open_file_log_store(folder.path);
             CHECK(store->last_index() == 2);
             store->append(commands(3, 3, 1));
