Instances: wait for a full disk, a failed one and a data folder in use

An instance of `serve` with a data folder ended with code 1 when its disk was full, when a write failed, and when its predecessor still held the folder: it opened its store without a wait policy.

It uses the same storage_wait as control instances. SIGTERM is handled on the thread of the gate, since the control thread may wait for its disk; the wait sees the request within 500 ms and the instance ends with code 0. When an exception ends the control thread, the other threads are stopped before the objects that they use are destroyed.

--- a/src/app/instance/global_tier.cpp
+++ b/src/app/instance/global_tier.cpp
@@ -1,5 +1,7 @@
 #include "app/instance/global_tier.h"
 
+#include "app/instance/storage_wait.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -26,7 +28,8 @@
 }
 
 void global_tier::open_group(const std::optional<consensus::membership>& initial) {
-    auto store = storage::open_file_log_store(*shared_.settings.data_folder);
+    auto store =
+        storage::open_file_log_store(*shared_.settings.data_folder, std::make_shared<storage_wait>());
     if (initial) {
         consensus::node::bootstrap(*store, *initial);
     }
--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -27,6 +27,7 @@
 
 private:
     void submit_to_gate(const wire::ForwardRequest& request, gate_reply reply);
+    void stop_workers();
     void on_reload(const asio::error_code& ec);
     void start_shutdown();
     void poll_shutdown();
@@ -43,7 +44,7 @@
     std::unique_ptr<gate> gate_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<control_plane> control_;
-    asio::signal_set signals_{control_worker_.io, SIGTERM, SIGINT};
+    asio::signal_set signals_{gate_worker_.io, SIGTERM, SIGINT}; // the control thread may wait for its disk
     asio::signal_set reload_signals_{control_worker_.io, SIGHUP};
     asio::steady_timer shutdown_timer_{control_worker_.io};
     time_point shutdown_deadline_;
@@ -84,7 +85,8 @@
 void instance::run() {
     signals_.async_wait([this](const asio::error_code& ec, int) {
         if (!ec) {
-            start_shutdown();
+            lifecycle::request_stop();
+            asio::post(control_worker_.io, [this] { start_shutdown(); });
         }
     });
     spdlog::info("started instance={} data_center={} incarnation={}", settings_.name, settings_.data_center,
@@ -93,10 +95,20 @@
     gate_worker_.start();
     entry_worker_.start();
     lifecycle::accept_signals();
-    control_worker_.io.run();
+    try {
+        control_worker_.io.run();
+    } catch (...) {
+        // What the other threads use is destroyed before them.
+        stop_workers();
+        throw;
+    }
+    stop_workers();
+    spdlog::info("stopped instance={}", settings_.name);
+}
+
+void instance::stop_workers() {
     entry_worker_.stop();
     gate_worker_.stop();
-    spdlog::info("stopped instance={}", settings_.name);
 }
 
 void instance::on_reload(const asio::error_code& ec) {
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -2,6 +2,7 @@
 #include "app/instance/instance.h"
 
 #include <kingcupseam/error.h>
+#include <kingcupseam/lifecycle.h>
 #include <kingcupseam/settings.h>
 
 #include <boost/program_options.hpp>
@@ -49,7 +50,11 @@
     }
     const auto settings = settings::load_settings(values["config"].as<std::string>());
     configure_log(settings);
-    run_instance(settings);
+    try {
+        run_instance(settings);
+    } catch (const lifecycle::stop_requested_error& e) {
+        spdlog::info("stopped instance={} reason=\"{}\"", settings.name, e.what());
+    }
     return exit_success;
 }
 
