Control instances: the first start waits for the files beside the log

The folder and the marker of a founder were created before the store was opened, without a wait: a full disk, a lack of descriptors or a failed sync ended the first start with code 1. A marker that was not synced was left behind, so that a second start took it for durable, and of a new path only the last folder was synced in its parent.

Both steps now wait as the store does. What could not be synced is removed before the retry, so that it is created and synced anew, and every new folder is synced in its parent.

--- a/include/kingcupseam/storage.h
+++ b/include/kingcupseam/storage.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -115,6 +116,13 @@
     virtual void on_resumed() = 0;
 };
 
+/// Repeats @p step while it throws io_error, for files beside a store that is opened. Waits for what
+/// open_file_log_store() waits for.
+void retry_opening(wait_policy& waits, const std::function<void()>& step);
+
+/// Creates a folder, with its parents, that survives a power loss.
+void create_folder(const std::filesystem::path& folder);
+
 /// Opens or creates a store in @p folder. Removes an incomplete last write.
 /// @param waits if null, the store waits for nothing
 /// @throws corrupt_log; io_error, also if another process has the folder open, and without a wait if the path
--- a/src/router/control_orders.cpp
+++ b/src/router/control_orders.cpp
@@ -33,6 +33,26 @@
     }
 }
 
+bool file_exists(const std::filesystem::path& path) {
+    std::error_code ec;
+    const bool found = std::filesystem::exists(path, ec);
+    if (ec) {
+        throw io_error(path.string(), "stat", ec.value());
+    }
+    return found;
+}
+
+void create_marker(const std::filesystem::path& marker) {
+    try {
+        sync_path(marker, O_CREAT | O_WRONLY);
+        sync_path(marker.parent_path(), O_RDONLY | O_DIRECTORY);
+    } catch (const io_error&) {
+        std::error_code ec;
+        std::filesystem::remove(marker, ec); // so that a retry syncs it
+        throw;
+    }
+}
+
 std::int64_t milliseconds(duration value) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
@@ -72,16 +92,20 @@
 
 member_store open_member_store(const std::filesystem::path& folder, bool bootstrap,
                                const std::string& own_name, const std::vector<std::string>& seed_names) {
-    std::filesystem::create_directories(folder);
-    const auto marker = folder / founder_file;
+    const auto waits = std::make_shared<app::storage_wait>();
     const bool seed = std::find(seed_names.begin(), seed_names.end(), own_name) != seed_names.end();
-    if (bootstrap && seed && !std::filesystem::exists(marker)) {
-        sync_path(marker, O_CREAT | O_WRONLY);
-        sync_path(folder, O_RDONLY | O_DIRECTORY);
-    }
-    const bool founder = std::filesystem::exists(marker);
+    bool founder = false;
+    storage::retry_opening(*waits, [&] {
+        storage::create_folder(folder);
+        const auto marker = folder / founder_file;
+        founder = file_exists(marker);
+        if (bootstrap && seed && !founder) {
+            create_marker(marker);
+            founder = true;
+        }
+    });
     member_store result;
-    result.store = storage::open_file_log_store(folder / "log", std::make_shared<app::storage_wait>());
+    result.store = storage::open_file_log_store(folder / "log", waits);
     result.self = {own_name, founder ? 0 : result.store->identity()};
     if (founder && result.store->last_index() == 0 && !result.store->load_snapshot() && bootstrap) {
         consensus::membership members;
--- a/src/storage/file_log_store.cpp
+++ b/src/storage/file_log_store.cpp
@@ -1,8 +1,10 @@
 #include "storage/file_log_store.h"
 
 #include "storage/record.h"
+#include "storage/retry.h"
 
 #include <cerrno>
+#include <functional>
 #include <random>
 
 namespace kingcupseam::storage {
@@ -18,34 +20,6 @@
     return value;
 }
 
-bool is_full(const io_error& failure) {
-    switch (failure.code()) {
-    case ENOSPC:
-    case EDQUOT:
-    case EFBIG: // the process's limit on the size of files, which can be lifted while it runs
-        return true;
-    default:
-        return false;
-    }
-}
-
-/// True for failures that a wrong path or wrong permissions cause.
-bool is_misconfigured(const io_error& failure) {
-    switch (failure.code()) {
-    case EACCES:
-    case EPERM:
-    case EROFS:
-    case ENOENT:
-    case ENOTDIR:
-    case EISDIR:
-    case ELOOP:
-    case ENAMETOOLONG:
-        return true;
-    default:
-        return false;
-    }
-}
-
 /// What is known about the end of the log file.
 enum class log_end : std::uint8_t {
     known,   ///< the file has exactly the image, and it is durable
@@ -173,39 +147,8 @@
         end_ = log_end::known;
     }
 
-    /// Repeats @p step while the policy asks for it.
-    template <typename Step>
-    void retry(const Step& step) {
-        bool waited = false;
-        for (;;) {
-            try {
-                step();
-                break;
-            } catch (const io_error& e) {
-                const auto reason = obstacle_of(e);
-                if (!reason || !waits_ || !waits_->wait(*reason, e)) {
-                    throw;
-                }
-                waited = true;
-            }
-        }
-        if (waited) {
-            waits_->on_resumed();
-        }
-    }
-
-    /// What a failure waits for; empty if the store must fail.
-    std::optional<obstacle> obstacle_of(const io_error& failure) const {
-        if (!lock_ && failure.code() == EWOULDBLOCK) {
-            return obstacle::folder_in_use;
-        }
-        if (is_full(failure)) {
-            return obstacle::disk_full;
-        }
-        if (!opened_ && is_misconfigured(failure)) {
-            return std::nullopt;
-        }
-        return obstacle::disk_failed;
+    void retry(const std::function<void()>& step) {
+        storage::retry(waits_.get(), opened_ ? store_phase::open : store_phase::opening, step);
     }
 
     std::string encode_image() const {
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -66,14 +66,21 @@
 class posix_file_system final : public file_system {
 public:
     void create_folder(const std::filesystem::path& folder) override {
+        const auto path = std::filesystem::absolute(folder).lexically_normal();
         std::error_code ec;
-        if (std::filesystem::create_directories(folder, ec)) {
-            const auto parent = std::filesystem::absolute(folder).lexically_normal().parent_path();
-            sync_folder(parent);
+        if (std::filesystem::is_directory(path, ec) || path == path.parent_path()) {
+            return;
         }
-        if (ec) {
+        create_folder(path.parent_path());
+        if (!std::filesystem::create_directory(path, ec) && ec) {
             throw io_error(folder.string(), "mkdir", ec.value());
         }
+        try {
+            sync_folder(path.parent_path());
+        } catch (const io_error&) {
+            std::filesystem::remove(path, ec); // so that a retry syncs it
+            throw;
+        }
     }
     std::shared_ptr<void> lock_folder(const std::filesystem::path& folder) override {
         auto handle = std::make_shared<descriptor>(folder, O_RDONLY | O_DIRECTORY);
@@ -139,6 +146,10 @@
 
 } // namespace
 
+void create_folder(const std::filesystem::path& folder) {
+    make_posix_file_system()->create_folder(folder);
+}
+
 std::shared_ptr<file_system> make_posix_file_system() {
     return std::make_shared<posix_file_system>();
 }
