--- a/src/storage/file_system.h
+++ b/src/storage/file_system.h
@@ -32,13 +32,15 @@
 
     virtual void create_folder(const std::filesystem::path& folder) = 0;
     /// Locks the folder exclusively until the returned object is destroyed.
+    /// @throws io_error, with EWOULDBLOCK if another process has locked it
     virtual std::shared_ptr<void> lock_folder(const std::filesystem::path& folder) = 0;
+    /// False if @p folder is no longer the one that @p lock was taken on.
+    virtual bool holds_lock(const std::filesystem::path& folder, const std::shared_ptr<void>& lock) = 0;
     virtual void sync_folder(const std::filesystem::path& folder) = 0;
     /// Whole content; empty if the file does not exist.
     virtual std::optional<std::string> read(const std::filesystem::path& file) = 0;
-    /// Opens a file for appending.
-    /// @param replace creates the file if it is missing and empties it
-    virtual std::unique_ptr<log_file> open(const std::filesystem::path& file, bool replace) = 0;
+    /// Creates a file for appending, or empties the one that is there.
+    virtual std::unique_ptr<log_file> create(const std::filesystem::path& file) = 0;
     virtual void rename(const std::filesystem::path& from, const std::filesystem::path& to) = 0;
 };
 
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace kingcupseam::storage {
@@ -65,22 +66,46 @@
 class posix_file_system final : public file_system {
 public:
     void create_folder(const std::filesystem::path& folder) override {
+        const auto path = std::filesystem::absolute(folder).lexically_normal();
         std::error_code ec;
-        if (std::filesystem::create_directories(folder, ec)) {
-            const auto parent = std::filesystem::absolute(folder).lexically_normal().parent_path();
-            sync_folder(parent);
+        if (std::filesystem::is_directory(path, ec) || path == path.parent_path()) {
+            return;
         }
-        if (ec) {
+        create_folder(path.parent_path());
+        if (!std::filesystem::create_directory(path, ec) && ec) {
             throw io_error(folder.string(), "mkdir", ec.value());
         }
+        try {
+            sync_folder(path.parent_path());
+        } catch (const io_error&) {
+            std::filesystem::remove(path, ec); // so that a retry syncs it
+            throw;
+        }
     }
     std::shared_ptr<void> lock_folder(const std::filesystem::path& folder) override {
         auto handle = std::make_shared<descriptor>(folder, O_RDONLY | O_DIRECTORY);
-        if (::flock(handle->get(), LOCK_EX | LOCK_NB) != 0) {
-            handle->fail("flock");
+        while (::flock(handle->get(), LOCK_EX | LOCK_NB) != 0) {
+            if (errno != EINTR) {
+                handle->fail("flock");
+            }
         }
         return handle;
     }
+    bool holds_lock(const std::filesystem::path& folder, const std::shared_ptr<void>& lock) override {
+        const auto handle = std::static_pointer_cast<descriptor>(lock);
+        struct stat locked {};
+        struct stat found {};
+        if (::fstat(handle->get(), &locked) != 0) {
+            handle->fail("fstat");
+        }
+        if (::stat(folder.c_str(), &found) != 0) {
+            if (errno == ENOENT || errno == ENOTDIR) {
+                return false;
+            }
+            handle->fail("stat");
+        }
+        return locked.st_dev == found.st_dev && locked.st_ino == found.st_ino;
+    }
     void sync_folder(const std::filesystem::path& folder) override {
         const descriptor handle(folder, O_RDONLY | O_DIRECTORY);
         if (::fsync(handle.get()) != 0) {
@@ -109,9 +134,8 @@
             content.append(buf, 0, static_cast<std::size_t>(n));
         }
     }
-    std::unique_ptr<log_file> open(const std::filesystem::path& file, bool replace) override {
-        const int flags = O_WRONLY | O_APPEND | (replace ? O_CREAT | O_TRUNC : 0);
-        return std::make_unique<posix_file>(file, flags);
+    std::unique_ptr<log_file> create(const std::filesystem::path& file) override {
+        return std::make_unique<posix_file>(file, O_WRONLY | O_APPEND | O_CREAT | O_TRUNC);
     }
     void rename(const std::filesystem::path& from, const std::filesystem::path& to) override {
         if (::rename(from.c_str(), to.c_str()) != 0) {
@@ -122,6 +146,10 @@
 
 } // namespace
 
+void create_folder(const std::filesystem::path& folder) {
+    make_posix_file_system()->create_folder(folder);
+}
+
 std::shared_ptr<file_system> make_posix_file_system() {
     return std::make_shared<posix_file_system>();
 }
