--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -227,4 +227,19 @@
     }
 }
 
+// Guards against a control instance that ends when it passes on what an upstream has answered to a release.
+TEST_CASE("a handover that JSON cannot carry is left out of the next grant") {
+    const auto protocol = make_provider_protocol();
+    key_ranges::call grant;
+    grant.kind = key_ranges::call_kind::grant;
+    SUBCASE("bytes that are no text") {
+        grant.handover = protocol->read_handover({200, {{"X-Handover", "5c0e\xff"}}, {}, false});
+        CHECK(protocol->write_call(grant).find("handover") == std::string::npos);
+    }
+    SUBCASE("text is passed on") {
+        grant.handover = protocol->read_handover({200, {{"X-Handover", "5c0e7a21d94b36f8"}}, {}, false});
+        CHECK(protocol->write_call(grant).find(R"("handover":"5c0e7a21d94b36f8")") != std::string::npos);
+    }
+}
+
 } // namespace kingcupseam::platform
