--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -242,4 +242,24 @@
     }
 }
 
+// Guards against a stack that overflows: copies of a value call themselves for each level.
+TEST_CASE("a document that is nested deeply is refused") {
+    constexpr std::size_t levels = 1'000'000;
+    const std::string deep = std::string(levels, '[') + std::string(levels, ']');
+    SUBCASE("in a table of a desired state") {
+        CHECK_THROWS_AS(parse_configuration(replaced(desired_state, ",120,", "," + deep + ",")),
+                        invalid_input);
+    }
+    SUBCASE("in a report") {
+        CHECK_THROWS_AS(parse_announcement("u", replaced(report, "6", deep)), invalid_input);
+    }
+    SUBCASE("as objects") {
+        std::string objects;
+        for (std::size_t n = 0; n < levels; ++n) {
+            objects += R"({"a":)";
+        }
+        CHECK_THROWS_AS(parse_configuration(objects), invalid_input);
+    }
+}
+
 } // namespace kingcupseam::platform
