Links: a seed that is no address ends no process

A settings file whose seeds named a host instead of an address ended a running entry and a running control instance at the next SIGHUP or check (code 1, "Invalid argument").

A link read the address in a handler that it posts, with the function that throws. It now stays down, so its requests end as not sent, and the seeds are checked before they are dialled; one that is no address is logged.

--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -36,7 +36,9 @@
 
 void control_links::set_seeds(const std::vector<std::string>& ips) {
     for (const auto& it : ips) {
-        dial(to_string(endpoint_address{it, settings_.peer_port}));
+        if (is_usable_seed(it)) {
+            dial(to_string(endpoint_address{it, settings_.peer_port}));
+        }
     }
 }
 
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -85,7 +85,9 @@
 
 void control_node::set_seeds(const std::vector<std::string>& ips) {
     for (const auto& it : ips) {
-        dial(peer_name(it));
+        if (is_usable_seed(it)) {
+            dial(peer_name(it));
+        }
     }
 }
 
--- a/src/router/instance_name.cpp
+++ b/src/router/instance_name.cpp
@@ -4,6 +4,7 @@
 #include <kingcupseam/transport.h>
 
 #include <asio.hpp>
+#include <spdlog/spdlog.h>
 
 namespace kingcupseam::router {
 
@@ -21,4 +22,13 @@
     throw transport::malformed_frame("the name of an instance is not an IPv4 address and a port");
 }
 
+bool is_usable_seed(const std::string& ip) {
+    asio::error_code ec;
+    asio::ip::make_address(ip, ec);
+    if (ec) {
+        spdlog::warn("seed ignored ip={} problem=\"is not an IP address\"", ip);
+    }
+    return !ec;
+}
+
 } // namespace kingcupseam::router
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -61,6 +61,11 @@
     if (stopped) {
         return;
     }
+    asio::error_code invalid;
+    const asio::ip::tcp::endpoint target(asio::ip::make_address(remote.ip, invalid), remote.port);
+    if (invalid) {
+        return; // no later attempt would succeed
+    }
     auto socket = std::make_shared<asio::ip::tcp::socket>(context);
     auto timer = std::make_shared<asio::steady_timer>(context, settings.connect_timeout);
     timer->async_wait([socket](const asio::error_code& ec) {
@@ -69,7 +74,6 @@
             socket->close(ignored);
         }
     });
-    const asio::ip::tcp::endpoint target(asio::ip::make_address(remote.ip), remote.port);
     socket->async_connect(target, [it = shared_from_this(), socket, timer](const asio::error_code& ec) {
         timer->cancel();
         it->on_connected(ec, std::move(*socket));
