Entries: an update that lacks the configuration ends no process

An entry that holds a configuration and receives a newer directory without one ended by signal 11.

The log line about a new configuration read the version of the missing one. Such an update is now refused like one that lags behind, and the entry keeps serving with the configuration that it holds. A control group never drops its configuration, so only one that was founded anew sends this.

Before: control_links_test on the former code ends with SIGSEGV.

--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -145,6 +145,9 @@
             // The control instance lags behind.
             throw invalid_input("directory", "index", "is lower than that of the current directory");
         }
+        if (directory_->config && !next->config) {
+            throw invalid_input("directory", "configuration", "is missing, and one is held here");
+        }
         if (!directory_->config || next->config->version != directory_->config->version) {
             spdlog::info("configuration in force version={} index={}",
                          next->config ? next->config->version : 0, next->index);
