Control: consensus messages are checked before they are used

A consensus message whose sender is not named by an address ended the control instance that replied to it.

Both threw invalid_input, and a connection ends only by malformed_frame. The sender and the state are now checked before the message is passed on, and the connection that carried it is closed.

--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -32,6 +32,19 @@
 // Longer than outages of zones and machines.
 constexpr duration max_upstream_silence = std::chrono::seconds(40);
 
+/// Refuses what this member could not reply to, or would store and fail to apply.
+/// @throws transport::malformed_frame
+void check_message(const consensus::message& received) {
+    parse_instance_name(received.from.name);
+    try {
+        if (received.state) {
+            (void)directory::decode_snapshot(received.state->data);
+        }
+    } catch (const invalid_input& e) {
+        throw transport::malformed_frame(e.what());
+    }
+}
+
 } // namespace
 
 control_node::control_node(asio::io_context& context, process_settings settings, call_sender send_call)
@@ -120,7 +133,9 @@
     switch (received.type) {
     case frame_type::consensus_message: {
         const task_times::scope measured(task_times_, control_task::consensus);
-        group_->receive(app::from_wire(decode<wire::ConsensusMessage>(received.payload)));
+        const auto message = app::from_wire(decode<wire::ConsensusMessage>(received.payload));
+        check_message(message);
+        group_->receive(message);
         break;
     }
     case frame_type::join_request:
--- a/tests/router/control_node_test.cpp
+++ b/tests/router/control_node_test.cpp
@@ -5,6 +5,7 @@
 
 #include <directory_types.h>
 #include <doctest/doctest.h>
+#include <peer_types.h>
 
 #include <algorithm>
 #include <functional>
@@ -155,6 +156,50 @@
             }
         }
     }
+    SUBCASE("consensus messages from names that are no addresses") {
+        constexpr std::int8_t kinds = 10;
+        for (const char* name : {"entry", "127.0.1:80", ""}) {
+            for (std::int8_t kind = 0; kind < kinds; ++kind) {
+                fake_entry other(context, good_name, settings);
+                REQUIRE(run_until([&] { return other.up(); }));
+                wire::ConsensusMessage message;
+                message.kind = kind;
+                message.group = 1;
+                message.sender.name = name;
+                message.receiver.name = to_string(endpoint_address{settings.ip, settings.peer_port});
+                other.send(frame_type::consensus_message, transport::encode(message));
+                REQUIRE_NOTHROW(context.run_for(milliseconds(20)));
+                context.restart();
+            }
+        }
+    }
+    SUBCASE("a snapshot whose state cannot be read") {
+        std::string data;
+        SUBCASE("of other bytes") {
+            data = "\xff\xff\xff";
+        }
+        SUBCASE("without bytes") {}
+        fake_entry other(context, good_name, settings);
+        REQUIRE(run_until([&] { return other.up(); }));
+        constexpr std::int64_t later_term = 1000;
+        for (std::int8_t kind = 0; kind < 10; ++kind) {
+            wire::ConsensusMessage message;
+            message.kind = kind;
+            message.group = 1;
+            message.sender.name = good_name;
+            message.receiver.name = to_string(endpoint_address{settings.ip, settings.peer_port});
+            message.term = later_term;
+            wire::Snapshot state;
+            state.index = later_term;
+            state.term = later_term;
+            state.membership = consensus::encode(consensus::membership{{{good_name, 0}}, {}});
+            state.data = data;
+            message.__set_state(state);
+            other.send(frame_type::consensus_message, transport::encode(message));
+            REQUIRE_NOTHROW(context.run_for(milliseconds(50)));
+            context.restart();
+        }
+    }
     CHECK(sound.up());
     CHECK(std::all_of(sound.last.entries.begin(), sound.last.entries.end(),
                       [&](const auto& it) { return it.name == good_name; }));
