Links: a handler that fails leaves no deaf connection and no request open

When the handler of a frame threw anything but malformed_frame, its connection was not read any more and stayed open until the silence limit; when the handler of one timed-out request threw, the others that were due at the same time never ended, and no later one timed out.

The next read, accept, heartbeat, redial and deadline were set after the handlers had run. They are now set first, or the connection is closed; all requests that are due end before the exception is passed on.

Before: link_test on the former code fails in both subcases: the request is not ended and the link not dialled again within 3 s; 1 of 4 requests ends.

--- a/src/transport/datagram.cpp
+++ b/src/transport/datagram.cpp
@@ -8,6 +8,7 @@
     state(asio::io_context& context, handler receiver) : socket(context), on_datagram(std::move(receiver)) {}
 
     void receive();
+    void handle(std::size_t n);
 
     asio::ip::udp::socket socket;
     handler on_datagram;
@@ -26,13 +27,21 @@
                                   }
                                   if (!ec) {
                                       it->bytes_received += n;
-                                      it->on_datagram({it->sender.address().to_string(), it->sender.port()},
-                                                      std::string_view(it->input.data(), n));
+                                      it->handle(n);
                                   }
                                   it->receive();
                               });
 }
 
+void datagram_channel::state::handle(std::size_t n) {
+    try {
+        on_datagram({sender.address().to_string(), sender.port()}, std::string_view(input.data(), n));
+    } catch (...) {
+        receive();
+        throw;
+    }
+}
+
 datagram_channel::datagram_channel(asio::io_context& context, const endpoint_address& listen,
                                    handler on_datagram)
     : state_(std::make_shared<state>(context, std::move(on_datagram))) {
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -1,5 +1,6 @@
 #include "transport/stream_connection.h"
 
+#include <exception>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -7,6 +8,30 @@
 
 namespace kingcupseam::transport {
 
+namespace {
+
+struct ended_request {
+    std::function<void(reply)> done;
+    link_failure failure = link_failure::lost;
+};
+
+/// Ends all requests, also when the handler of one throws; then throws its exception.
+void end_all(const std::vector<ended_request>& requests) {
+    std::exception_ptr first;
+    for (const auto& it : requests) {
+        try {
+            it.done({std::nullopt, it.failure});
+        } catch (...) {
+            first = first ? first : std::current_exception();
+        }
+    }
+    if (first) {
+        std::rethrow_exception(first);
+    }
+}
+
+} // namespace
+
 struct peer_link::state : std::enable_shared_from_this<peer_link::state> {
     struct pending_request {
         std::function<void(reply)> done;
@@ -116,11 +141,16 @@
     closed_bytes_sent += closed->bytes_sent();
     closed_bytes_received += closed->bytes_received();
     ready = false;
-    set_is_up(false);
-    fail_pending(closed->handed_to_socket());
     if (!stopped) {
         redial_later();
     }
+    try {
+        set_is_up(false);
+    } catch (...) {
+        fail_pending(closed->handed_to_socket());
+        throw;
+    }
+    fail_pending(closed->handed_to_socket());
 }
 
 void peer_link::state::set_is_up(bool value) {
@@ -191,10 +221,12 @@
 
 void peer_link::state::fail_pending(std::uint64_t handed_to_socket) {
     deadlines.clear();
-    const auto failed = std::exchange(pending, {});
-    for (const auto& [correlation, it] : failed) {
-        it.done({std::nullopt, it.position > handed_to_socket ? link_failure::not_sent : link_failure::lost});
+    std::vector<ended_request> failed;
+    for (auto& [correlation, it] : std::exchange(pending, {})) {
+        failed.push_back({std::move(it.done),
+                          it.position > handed_to_socket ? link_failure::not_sent : link_failure::lost});
     }
+    end_all(failed);
 }
 
 void peer_link::state::arm_deadline() {
@@ -210,18 +242,16 @@
 }
 
 void peer_link::state::expire(time_point now) {
-    std::vector<std::function<void(reply)>> expired;
+    std::vector<ended_request> expired;
     while (!deadlines.empty() && deadlines.begin()->first <= now) {
         const auto it = pending.find(deadlines.begin()->second);
         deadlines.erase(deadlines.begin());
-        expired.push_back(std::move(it->second.done));
+        expired.push_back({std::move(it->second.done), link_failure::timeout});
         pending.erase(it);
     }
     update_silence_detection();
-    for (const auto& it : expired) {
-        it({std::nullopt, link_failure::timeout});
-    }
     arm_deadline();
+    end_all(expired);
 }
 
 void peer_link::state::stop() {
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -46,10 +46,10 @@
             if (it->stopped) {
                 return;
             }
+            it->accept(); // first: a connection that cannot be added must not be the last one
             if (!ec) {
                 it->add(std::move(socket));
             }
-            it->accept();
         });
 }
 
--- a/src/transport/stream_connection.cpp
+++ b/src/transport/stream_connection.cpp
@@ -148,6 +148,10 @@
     } catch (const malformed_frame&) {
         fail(true);
         return;
+    } catch (...) {
+        // Of the handler. Without the next read the connection would stay open and deaf.
+        fail(false);
+        throw;
     }
     if (open_) {
         read();
@@ -210,7 +214,9 @@
 void stream_connection::on_heartbeat_due() {
     const time_point now = steady_now();
     // While this process did not run, it sent no heartbeats that the peer could have answered.
-    last_received_ += std::max(now - heartbeat_due_, duration::zero());
+    const time_point due = heartbeat_due_;
+    schedule_heartbeat(); // first: a step that fails must not end the detection of silence
+    last_received_ += std::max(now - due, duration::zero());
     const duration silence = now - last_received_;
     if (silence > std::max(settings_.heartbeat_timeout, settings_.silence_limit)) {
         // An open connection can stop working while new ones work, so it is closed and dialled again. Its
@@ -226,7 +232,6 @@
     if (now - last_sent_ >= settings_.heartbeat_interval / 2) {
         send({frame_type::heartbeat, 0, {}});
     }
-    schedule_heartbeat();
 }
 
 void stream_connection::set_silent(bool value) {
--- a/tests/transport/link_test.cpp
+++ b/tests/transport/link_test.cpp
@@ -362,3 +362,53 @@
     REQUIRE_NOTHROW(context.run_for(200ms));
     CHECK_FALSE(to_peer.up());
 }
+
+// Guards against a connection that is open and never read again, and against a thread that ends.
+TEST_CASE("a handler that fails ends its connection, and the link is dialled again") {
+    asio::io_context context;
+    const auto run_past_failures = [&](const std::function<bool()>& condition) {
+        int failures = 0;
+        for (const auto end = std::chrono::steady_clock::now() + test_limit;
+             !condition() && std::chrono::steady_clock::now() < end;) {
+            try {
+                context.restart();
+                context.run_for(5ms);
+            } catch (const std::runtime_error&) {
+                ++failures;
+            }
+        }
+        CHECK(condition());
+        return failures;
+    };
+    SUBCASE("of a frame") {
+        link_options patient;
+        patient.heartbeat_timeout = 10s;
+        peer_server peer(context, listen_address, identity("b"), patient,
+                         [](const auto&, const frame&) { throw std::runtime_error("handler"); });
+        peer_link to_peer(context, listen_address, identity("a"), patient, nullptr);
+        int connected = 0;
+        to_peer.on_state_change([&](bool up) { connected += up ? 1 : 0; });
+        REQUIRE(run_until(context, [&] { return to_peer.up(); }));
+        std::optional<reply> ended;
+        to_peer.request({frame_type::forward_request, 0, "x"}, 2s, [&](reply it) { ended = std::move(it); });
+        CHECK(run_past_failures([&] { return ended && connected == 2; }) == 1);
+        CHECK_FALSE(ended->answer);
+        CHECK(ended->failure == link_failure::lost);
+    }
+    SUBCASE("of a request that has timed out; the others end too") {
+        peer_server peer(context, listen_address, identity("b"), {}, [](const auto&, const frame&) {});
+        peer_link to_peer(context, listen_address, identity("a"), {}, nullptr);
+        REQUIRE(run_until(context, [&] { return to_peer.up(); }));
+        int ended = 0;
+        for (const auto timeout : {50ms, 50ms, 50ms, 100ms}) {
+            to_peer.request({frame_type::forward_request, 0, "x"}, timeout, [&](const reply&) {
+                if (++ended == 1) {
+                    throw std::runtime_error("handler");
+                }
+            });
+        }
+        context.run_for(1ms);
+        std::this_thread::sleep_for(60ms);
+        CHECK(run_past_failures([&] { return ended == 4; }) == 1);
+    }
+}
