Timers: a step that fails is not the last one

After an exception while settings were read, neither SIGHUP nor the timer led to another attempt; after one while the directory was sent, no subscriber got it until the next change.

Both set the next step after the work. The settings are now awaited first. The directory goes on with the next subscriber, and returns to the one for which it failed in the next round; an update is kept only once it is made.

Before: seed_watcher_test on the former code reads once of three signals, and once in 8 s. The part about the directory has no test.

--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -37,7 +37,14 @@
     timer_.async_wait([this](const asio::error_code& ec) {
         if (!ec) {
             scheduled_ = false;
-            flush();
+            try {
+                flush();
+            } catch (...) {
+                schedule_flush(
+                    batch_interval); // the subscribers after this one, and this one in the next round
+                has_new_subscriber_ = true;
+                throw;
+            }
             if (round_left_ > 0) {
                 schedule_flush(duration::zero());
             } else if (target_ != current_ || has_new_subscriber_) {
@@ -68,16 +75,16 @@
     std::uint64_t base = to.known_index;
     if (!history_.contains(base)) {
         if (!history_.contains(whole_index_) || whole_index_ < to.known_index) {
-            whole_index_ = target_->index;
             whole_ = make_update(nullptr);
+            whole_index_ = target_->index;
         }
         send(peer, whole_, to.expands);
         base = whole_index_;
     }
     if (base < target_->index) {
-        auto [known, added] = updates_.try_emplace(base);
-        if (added) {
-            known->second = make_update(&history_.at(base));
+        auto known = updates_.find(base);
+        if (known == updates_.end()) {
+            known = updates_.emplace(base, make_update(&history_.at(base))).first;
         }
         send(peer, known->second, to.expands);
     }
@@ -104,6 +111,7 @@
             if (sent == max_updates_per_turn) {
                 return;
             }
+            last_visited_ = it->first; // a subscriber for which this fails does not hold up the others
             send_target(*peer, it->second);
             it->second.known_index = target_->index;
             ++sent;
--- a/src/router/seed_watcher.cpp
+++ b/src/router/seed_watcher.cpp
@@ -25,9 +25,9 @@
 void seed_watcher::wait_for_signal() {
     signals_.async_wait([this](const asio::error_code& ec, int) {
         if (!ec) {
+            wait_for_signal(); // first: a check that fails is not the last one
             spdlog::info("settings reload requested");
             check();
-            wait_for_signal();
         }
     });
 }
@@ -36,8 +36,8 @@
     timer_.expires_after(check_interval);
     timer_.async_wait([this](const asio::error_code& ec) {
         if (!ec) {
-            check();
             schedule_check();
+            check();
         }
     });
 }
