Control: an order or a call whose handler fails gets its result

An order of an operator or upstream whose handler threw was never answered, nor was one forwarded to a leader whose reply could not be read; a call to an upstream that could not be written left the lease manager waiting.

An order is now answered with 500, which promises nothing, unless it has been answered; an unreadable reply counts as none and closes the link; a call that was not written ends as not sent. Found by reading; no test.

--- a/src/router/control_node_orders.cpp
+++ b/src/router/control_node_orders.cpp
@@ -170,7 +170,13 @@
                          done(std::nullopt);
                          return;
                      }
-                     auto reply = decode<wire::ControlOrderReply>(it.answer->payload);
+                     wire::ControlOrderReply reply;
+                     try {
+                         reply = decode<wire::ControlOrderReply>(it.answer->payload);
+                     } catch (const transport::malformed_frame&) {
+                         done(std::nullopt);
+                         throw; // closes the link
+                     }
                      done(reply.accepted ? std::optional(std::move(reply.payload)) : std::nullopt);
                  });
 }
--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -14,12 +14,14 @@
 
 #include <csignal>
 #include <memory>
+#include <utility>
 
 namespace kingcupseam::router {
 
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_failed = 500;
 constexpr duration grant_timeout = std::chrono::milliseconds(700);
 // A release is answered when no request runs on its keys any more.
 constexpr duration release_timeout = std::chrono::seconds(3);
@@ -77,6 +79,8 @@
 private:
     using on_call_result = std::function<void(key_ranges::call_result, std::string handover)>;
     void send_call(const key_ranges::call& call, on_call_result done);
+    /// Answers 500 if it fails, unless it has been answered.
+    void serve_order(app::http_request received, app::http_reply reply);
 
     process_settings settings_;
     const protocol_adapter& protocol_;
@@ -104,21 +108,41 @@
     options.max_body_bytes = max_order_bytes;
     server_ = std::make_unique<app::http_server>(
         traffic_.io, options, [this](app::http_request received, app::http_reply reply) {
-            app::http_reply on_traffic_thread = [this, reply = std::move(reply)](app::http_response answer) {
-                asio::post(traffic_.io, [reply, answer = std::move(answer)] { reply(answer); });
-            };
-            asio::post(control_.io, [this, received = std::move(received),
-                                     reply = std::move(on_traffic_thread)]() mutable {
-                protocol_.serve_control(std::move(received), reply, *node_);
-            });
+            asio::post(control_.io,
+                       [this, received = std::move(received), reply = std::move(reply)]() mutable {
+                           serve_order(std::move(received), std::move(reply));
+                       });
         });
 }
 
+void control_process::serve_order(app::http_request received, app::http_reply reply) {
+    const auto answered = std::make_shared<bool>(false);
+    const app::http_reply on_traffic_thread = [this, answered,
+                                               reply = std::move(reply)](app::http_response answer) {
+        if (!std::exchange(*answered, true)) {
+            asio::post(traffic_.io, [reply, answer = std::move(answer)] { reply(answer); });
+        }
+    };
+    try {
+        protocol_.serve_control(std::move(received), on_traffic_thread, *node_);
+    } catch (const std::exception&) {
+        on_traffic_thread({status_failed, {}, {}, false}); // it may have been carried out
+        throw;
+    }
+}
+
 void control_process::send_call(const key_ranges::call& call, on_call_result done) {
     asio::post(traffic_.io, [this, call, done = std::move(done)]() mutable {
         exchange request;
         request.target = call.address;
-        request.bytes = protocol_.write_call(call);
+        try {
+            request.bytes = protocol_.write_call(call);
+        } catch (const std::exception&) {
+            // Without a result the lease manager would wait for this call for ever.
+            asio::post(control_.io,
+                       [done = std::move(done)] { done(key_ranges::call_result::not_sent, {}); });
+            throw;
+        }
         request.timeout = call.kind == key_ranges::call_kind::grant ? grant_timeout : release_timeout;
         // Answers have no id, and a second one to an earlier call must not end a release: its keys would move
         // while requests run on them.
