Processes: an exception of a handler ends the handler, not the process

Anything thrown by a handler of the traffic thread ended the process by signal 6, and on the control thread with code 1, whatever it was about.

The policy is in one place, lifecycle::scope_of(). The process still ends by io_error, since what is on the disk is not known, by a request to stop, and by unrecoverable_error: steps of a replicated group, the control tick and results for the lease manager must be whole, and throw it through run_or_end_process() when they are not. A group that lost committed entries halfway, or a manager that waits for calls that were not sent, could name two owners. Every other exception is counted in handler_failures_total and logged at most once a second, and the loop goes on. The report and stop timers of an entry are set before their work.

Test: worker_test; the former worker ends the test program there.

--- a/include/kingcupseam/lifecycle.h
+++ b/include/kingcupseam/lifecycle.h
@@ -2,7 +2,10 @@
 
 #include <kingcupseam/error.h>
 
+#include <cstdint>
+#include <exception>
 #include <string>
+#include <utility>
 
 namespace kingcupseam::lifecycle {
 
@@ -13,6 +16,37 @@
     explicit stop_requested_error(const std::string& waited_for);
 };
 
+/// A step ended halfway, and the state that it worked on is not known any more.
+class unrecoverable_error : public error {
+public:
+    using error::error;
+};
+
+/// What ends when an exception leaves a handler of an event loop.
+enum class failure_scope : std::uint8_t {
+    handler, ///< what it worked on fails; other requests, connections and timers go on
+    process, ///< going on could break a promise: the next start reads what is on the disk
+};
+
+/// The policy for all event loops. The process ends by unrecoverable_error, by io_error (what is on the disk
+/// is not known) and by stop_requested_error; every other exception ends its handler alone.
+failure_scope scope_of(const std::exception& failure) noexcept;
+
+/// Calls @p step. What it throws ends the process: as it is if scope_of() says so, else as
+/// unrecoverable_error.
+/// @param name of the step, for the log
+template <class Step>
+void run_or_end_process(const char* name, Step&& step) {
+    try {
+        std::forward<Step>(step)();
+    } catch (const std::exception& e) {
+        if (scope_of(e) == failure_scope::process) {
+            throw;
+        }
+        throw unrecoverable_error(std::string(name) + ": " + e.what());
+    }
+}
+
 /// Holds SIGHUP, SIGTERM and SIGINT until accept_signals(), so that none meets its default action before its
 /// handler is installed. Safe before the constructors of libraries.
 void hold_signals() noexcept;
--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -37,9 +37,10 @@
     std::uint64_t incarnation_ = new_incarnation();
     metrics::registry registry_;
     view_holder views_;
-    worker control_worker_;
-    worker entry_worker_;
-    worker gate_worker_;
+    handler_failures failures_{registry_};
+    worker control_worker_{"control", failures_};
+    worker entry_worker_{"entry", failures_};
+    worker gate_worker_{"gate", failures_};
     std::unique_ptr<gate> gate_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<control_plane> control_;
@@ -93,7 +94,7 @@
     gate_worker_.start();
     entry_worker_.start();
     lifecycle::accept_signals();
-    control_worker_.io.run();
+    control_worker_.run();
     entry_worker_.stop();
     gate_worker_.stop();
     spdlog::info("stopped instance={}", settings_.name);
--- a/src/app/instance/replicated_group.cpp
+++ b/src/app/instance/replicated_group.cpp
@@ -1,5 +1,7 @@
 #include "app/instance/replicated_group.h"
 
+#include <kingcupseam/lifecycle.h>
+
 #include <utility>
 #include <vector>
 
@@ -7,6 +9,10 @@
 
 namespace {
 
+using lifecycle::run_or_end_process;
+
+// A step that ended halfway may have lost committed entries, which other members have applied.
+constexpr const char* step_name = "replicated group";
 constexpr std::uint64_t entries_before_snapshot = 1000;
 // Each entry may hold a whole configuration of some MiB, and at a start the log is in memory twice.
 constexpr std::size_t entry_bytes_before_snapshot = std::size_t{16} * 1024 * 1024;
@@ -34,16 +40,22 @@
       node_(restore_snapshot(settings, *store_, machine_, applied_), *store_, steady_now()) {}
 
 void replicated_group::receive(const consensus::message& received) {
-    apply_effects(node_.receive(received, steady_now()));
+    run_or_end_process(step_name, [&] { apply_effects(node_.receive(received, steady_now())); });
 }
 
 void replicated_group::tick() {
-    const time_point now = steady_now();
-    apply_effects(node_.tick(now));
-    expire_proposals(now);
+    run_or_end_process(step_name, [&] {
+        const time_point now = steady_now();
+        apply_effects(node_.tick(now));
+        expire_proposals(now);
+    });
 }
 
 void replicated_group::propose(std::string command, on_result done) {
+    run_or_end_process(step_name, [&] { append(std::move(command), std::move(done)); });
+}
+
+void replicated_group::append(std::string command, on_result done) {
     consensus::effects effects;
     try {
         const auto index = node_.propose(std::move(command), steady_now(), effects);
@@ -60,6 +72,12 @@
 }
 
 bool replicated_group::change_membership(const consensus::membership_change& wanted) {
+    bool accepted = false;
+    run_or_end_process(step_name, [&] { accepted = append(wanted); });
+    return accepted;
+}
+
+bool replicated_group::append(const consensus::membership_change& wanted) {
     consensus::effects effects;
     try {
         node_.change_membership(wanted, steady_now(), effects);
--- a/src/app/instance/replicated_group.h
+++ b/src/app/instance/replicated_group.h
@@ -25,7 +25,8 @@
     virtual void restore(const std::string& saved) = 0;
 };
 
-/// A member of a consensus group with its log and state machine.
+/// A member of a consensus group with its log and state machine. A step that fails ends the process, see
+/// lifecycle::run_or_end_process().
 class replicated_group {
 public:
     using sender = std::function<void(const consensus::message&)>;
@@ -57,6 +58,8 @@
         on_result done;
     };
 
+    void append(std::string command, on_result done);
+    bool append(const consensus::membership_change& wanted);
     void apply_effects(consensus::effects effects);
     void apply(const storage::entry& committed);
     void compact_if_needed();
--- a/src/app/worker.h
+++ b/src/app/worker.h
@@ -1,28 +1,35 @@
 #pragma once
 
+#include "app/handler_failures.h"
+
 #include <asio.hpp>
 
 #include <thread>
 
 namespace kingcupseam::app {
 
-/// A thread with its own io_context. The objects that run on the thread must be created before start() and
+/// A thread with its own io_context. An exception of a handler ends the handler or the process, see
+/// run_handlers(). The objects that run on the thread must be created before start() and
 /// destroyed after stop().
 struct worker {
-    worker() = default;
+    worker(const char* name, handler_failures& observer) : thread_name(name), failures(observer) {}
     worker(const worker&) = delete;
     worker& operator=(const worker&) = delete;
     // The owner may be destroyed by an exception while the thread runs.
     ~worker() { stop(); }
 
+    const char* thread_name;
+    handler_failures& failures;
     asio::io_context io{1};
     /// Keeps run() from returning while nothing is pending.
     asio::executor_work_guard<asio::io_context::executor_type> work_guard{io.get_executor()};
     std::thread thread;
 
     void start() {
-        thread = std::thread([this] { io.run(); });
+        thread = std::thread([this] { run(); });
     }
+    /// Runs the handlers on the calling thread instead.
+    void run() { run_handlers(io, thread_name, failures); }
     void stop() {
         io.stop();
         if (thread.joinable()) {
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -7,6 +7,7 @@
 #include "router/load_decay.h"
 
 #include <kingcupseam/error.h>
+#include <kingcupseam/lifecycle.h>
 #include <kingcupseam/storage.h>
 
 #include <directory_types.h>
@@ -184,6 +185,13 @@
 }
 
 void control_node::tick() {
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait([this](const asio::error_code& ec) {
+        if (!ec) {
+            // A lease manager whose step ended halfway may wait for calls that were never sent.
+            lifecycle::run_or_end_process("control tick", [this] { tick(); });
+        }
+    });
     const time_point now = steady_now();
     log_late_tick(now);
     group_->tick();
@@ -210,12 +218,6 @@
         }
         broadcast_status();
     }
-    tick_timer_.expires_after(tick_interval);
-    tick_timer_.async_wait([this](const asio::error_code& ec) {
-        if (!ec) {
-            tick();
-        }
-    });
 }
 
 void control_node::on_leadership_change(bool leading, time_point now) {
@@ -285,7 +287,9 @@
         send_call_(std::move(it),
                    [this, generation, id](key_ranges::call_result result, const std::string& handover) {
                        if (generation == lease_manager_generation_ && lease_manager_) {
-                           lease_manager_->on_result(id, result, handover, steady_now());
+                           lifecycle::run_or_end_process("lease manager", [&] {
+                               lease_manager_->on_result(id, result, handover, steady_now());
+                           });
                        }
                    });
     }
--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -84,11 +84,12 @@
 
     process_settings settings_;
     const protocol_adapter& protocol_;
-    app::worker control_;
-    app::worker traffic_;
+    metrics::registry registry_;
+    app::handler_failures failures_{registry_};
+    app::worker control_{"control", failures_};
+    app::worker traffic_{"traffic", failures_};
     upstream_client client_{traffic_.io, call_client_options()};
     std::unique_ptr<control_node> node_;
-    metrics::registry registry_;
     std::unique_ptr<app::http_server> server_;
     std::unique_ptr<app::http_server> metrics_;
     seed_watcher seed_watcher_;
@@ -178,7 +179,7 @@
     });
     traffic_.start();
     lifecycle::accept_signals();
-    control_.io.run();
+    control_.run();
     traffic_.stop();
 }
 
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -51,8 +51,9 @@
 
     process_settings settings_;
     metrics::registry registry_;
-    app::worker control_;
-    app::worker traffic_;
+    app::handler_failures failures_{registry_};
+    app::worker control_{"control", failures_};
+    app::worker traffic_{"traffic", failures_};
     std::unique_ptr<dispatcher> dispatcher_;
     std::unique_ptr<app::http_server> callers_;
     std::unique_ptr<app::http_server> readiness_;
@@ -155,6 +156,7 @@
         if (ec) {
             return;
         }
+        schedule_report(); // first: a report that fails is not the last one
         auto report = dispatcher_->take_report();
         if (!report.empty()) {
             asio::post(control_.io, [this, report = std::move(report)] { links_->send_report(report); });
@@ -162,23 +164,28 @@
         if (++reports_ % reports_per_usage_line == 0) {
             dispatcher_->log_slot_usage();
         }
-        schedule_report();
     });
 }
 
 void entry_process::start_stopping() {
     spdlog::info("entry stopping");
     stopping_ = true;
-    links_->leave();
     asio::post(traffic_.io, [this] {
         stopping_since_ = steady_now();
+        poll_stop();
         dispatcher_->start_draining(stopping_since_ + settings_.grace_period - stop_reserve -
                                     last_answer_time);
-        poll_stop();
     });
+    links_->leave();
 }
 
 void entry_process::poll_stop() {
+    stop_timer_.expires_after(stop_poll_interval);
+    stop_timer_.async_wait([this](const asio::error_code& ec) {
+        if (!ec) {
+            poll_stop();
+        }
+    });
     const duration elapsed = steady_now() - stopping_since_;
     if (elapsed + max_signal_delay > settings_.grace_period / grace_part_for_new_requests) {
         dispatcher_->refuse_new_requests();
@@ -186,15 +193,9 @@
     const bool idle = dispatcher_->requests_in_flight() == 0 && !gates_->sending();
     if ((elapsed > min_unready_time && idle) || elapsed > settings_.grace_period - stop_reserve) {
         spdlog::info("entry stopped requests_cut={}", dispatcher_->requests_in_flight());
+        stop_timer_.cancel();
         control_.io.stop();
-        return;
     }
-    stop_timer_.expires_after(stop_poll_interval);
-    stop_timer_.async_wait([this](const asio::error_code& ec) {
-        if (!ec) {
-            poll_stop();
-        }
-    });
 }
 
 void entry_process::run() {
@@ -207,7 +208,7 @@
     schedule_report();
     traffic_.start();
     lifecycle::accept_signals();
-    control_.io.run();
+    control_.run();
     traffic_.stop();
 }
 
