--- a/src/app/instance/grant_pusher.cpp
+++ b/src/app/instance/grant_pusher.cpp
@@ -1,7 +1,11 @@
 #include "app/instance/grant_pusher.h"
 
+#include <kingcupseam/error.h>
+
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace kingcupseam::app {
 
 namespace {
@@ -16,6 +20,17 @@
     return ranges;
 }
 
+/// A number that the upstream writes as text.
+std::uint64_t number_field(const json& body, const char* name) {
+    const auto text = body.at(name).get<std::string>();
+    std::uint64_t result = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), result);
+    if (ec != std::errc{} || end != text.data() + text.size()) {
+        throw invalid_input("answer to a grant", name, "must be a whole number of 64 bits");
+    }
+    return result;
+}
+
 } // namespace
 
 grant_pusher::grant_pusher(asio::io_context& context, std::string address, duration lease, duration interval,
@@ -77,6 +92,8 @@
         on_answer(result.answer, sent, now);
     } catch (const json::exception&) {
         issuer_.on_failure(now);
+    } catch (const invalid_input&) {
+        issuer_.on_failure(now);
     }
 }
 
@@ -87,13 +104,14 @@
         issuer_.on_token(body.at("token").get<std::string>(), now, sent);
     }
     if (answer.status == 200) {
-        const auto version = std::stoull(body.at("version").get<std::string>());
+        const auto version = number_field(body, "version");
+        const auto epoch = number_field(body, "epoch");
         acknowledged_ = version;
-        issuer_.on_accepted(std::stoull(body.at("epoch").get<std::string>()), version, now);
+        issuer_.on_accepted(epoch, version, now);
     } else if (answer.status == 428) {
         issuer_.on_shards_missing(now);
     } else if (answer.status == 409) {
-        issuer_.on_higher_epoch(std::stoull(body.at("epoch").get<std::string>()), now);
+        issuer_.on_higher_epoch(number_field(body, "epoch"), now);
     } else {
         issuer_.on_failure(now);
         return;
