Gates: an answer about an execution without a state ends no process

The answer {"state":5} of an upstream to a probe or a cancellation threw in the handler of the gate thread (serve): the library refuses to read a number as a text. It is now taken as an answer without a state.

Before: the former expression, in a program of its own, throws "type_error.302 type must be string, but is number".

--- a/src/app/instance/upstream_faults.cpp
+++ b/src/app/instance/upstream_faults.cpp
@@ -1,4 +1,5 @@
 // Faults of an upstream: silent connections, executions that outlive their deadline, and crashes.
+#include "app/instance/execution_state.h"
 #include "app/instance/upstream_gate.h"
 
 #include <nlohmann/json.hpp>
@@ -75,8 +76,7 @@
                 answer.failure != http_failure::none) {
                 return;
             }
-            const auto body = json::parse(answer.answer.body, nullptr, false);
-            const auto state = body.is_object() ? body.value("state", "") : std::string();
+            const auto state = execution_state(answer.answer.body);
             if (state == "running" || state.empty()) {
                 return; // the request is slow; its connection works
             }
@@ -113,8 +113,7 @@
             return;
         }
         const bool answered = result.failure == http_failure::none && result.answer.status == 200;
-        const auto body = answered ? json::parse(result.answer.body, nullptr, false) : json();
-        done(result, body.is_object() ? body.value("state", "") : std::string());
+        done(result, answered ? execution_state(result.answer.body) : std::string());
     });
 }
 
