serve: steps that must be whole end the process

The gate thread holds the ledger and the control tick the groups: after an exception there, going on could leave an execution begun that no one ends, or an instance that runs and does nothing. Both end the process as before, now with the step in the log. An entry whose gate sends an unreadable answer ends its request as one that may have run; it was never answered. Found by reading; no test.

--- a/src/app/instance/control_plane.cpp
+++ b/src/app/instance/control_plane.cpp
@@ -3,6 +3,8 @@
 #include "app/instance/announcement.h"
 #include "app/instance/membership_codec.h"
 
+#include <kingcupseam/lifecycle.h>
+
 #include <spdlog/spdlog.h>
 
 #include <vector>
@@ -76,7 +78,7 @@
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](const asio::error_code& ec) {
         if (!ec && !stopped_) {
-            tick(steady_now());
+            lifecycle::run_or_end_process("control tick", [this] { tick(steady_now()); });
             schedule_tick();
         }
     });
--- a/src/app/instance/entry.cpp
+++ b/src/app/instance/entry.cpp
@@ -163,7 +163,14 @@
 
 void entry::on_reply(const request_ptr& it, const transport::reply& received) {
     if (received.answer) {
-        on_response(it, transport::decode<wire::ForwardResponse>(received.answer->payload));
+        wire::ForwardResponse response;
+        try {
+            response = transport::decode<wire::ForwardResponse>(received.answer->payload);
+        } catch (const transport::malformed_frame&) {
+            on_reply(it, {std::nullopt, transport::link_failure::lost});
+            throw; // closes the link
+        }
+        on_response(it, response);
         return;
     }
     // Forwarding an at-most-once request again is safe: a gate that finds its key begun in the ledger answers
--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -40,7 +40,7 @@
     handler_failures failures_{registry_};
     worker control_worker_{"control", failures_};
     worker entry_worker_{"entry", failures_};
-    worker gate_worker_{"gate", failures_};
+    worker gate_worker_{"gate", failures_, on_handler_failure::end_process}; // holds the ledger
     std::unique_ptr<gate> gate_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<control_plane> control_;
