--- a/tests/app/replicated_group_test.cpp
+++ b/tests/app/replicated_group_test.cpp
@@ -1,6 +1,8 @@
 #include "app/instance/replicated_group.h"
 #include "support/temporary_folder.h"
 
+#include <kingcupseam/lifecycle.h>
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -8,7 +10,9 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <stdexcept>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -23,6 +27,9 @@
 class last_command : public state_machine {
 public:
     std::string apply(const std::string& command, std::uint64_t /*index*/) override {
+        if (command == unreadable) {
+            throw std::out_of_range("command");
+        }
         held = command;
         return {};
     }
@@ -32,6 +39,7 @@
         ++restored;
     }
 
+    static constexpr std::string_view unreadable = "unreadable";
     std::string held;
     int restored = 0;
 };
@@ -99,6 +107,14 @@
             return accepted;
         }));
     }
+    /// Proposes at the leader and runs the members for a second.
+    void propose(const std::string& command) {
+        for (const auto& it : groups_) {
+            it->propose(command, [](const auto&) {});
+        }
+        const time_point end = steady_now() + std::chrono::seconds(1);
+        run_until([&] { return steady_now() >= end; });
+    }
     /// Bytes of the entries that the member keeps in memory and on disk.
     std::size_t log_bytes(int n) {
         auto& store = groups_[static_cast<std::size_t>(n)]->store();
@@ -195,4 +211,11 @@
     CHECK(it.run_until([&] { return it.log_bytes(0) >= commands * command_bytes; }));
 }
 
+// Guards against a member that goes on without a committed entry: as a leader it would name other owners.
+TEST_CASE("a committed command that a member cannot apply ends its process") {
+    cluster it;
+    it.accept("readable");
+    CHECK_THROWS_AS(it.propose(std::string(last_command::unreadable)), lifecycle::unrecoverable_error);
+}
+
 } // namespace kingcupseam::app
