--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -38,9 +38,10 @@
     std::uint64_t incarnation_ = new_incarnation();
     metrics::registry registry_;
     view_holder views_;
-    worker control_worker_;
-    worker entry_worker_;
-    worker gate_worker_;
+    handler_failures failures_{registry_};
+    worker control_worker_{"control", failures_};
+    worker entry_worker_{"entry", failures_};
+    worker gate_worker_{"gate", failures_, on_handler_failure::end_process}; // holds the ledger
     std::unique_ptr<gate> gate_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<control_plane> control_;
@@ -96,7 +97,7 @@
     entry_worker_.start();
     lifecycle::accept_signals();
     try {
-        control_worker_.io.run();
+        control_worker_.run();
     } catch (...) {
         // What the other threads use is destroyed before them.
         stop_workers();
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -7,6 +7,7 @@
 #include "router/load_decay.h"
 
 #include <kingcupseam/error.h>
+#include <kingcupseam/lifecycle.h>
 #include <kingcupseam/storage.h>
 
 #include <directory_types.h>
@@ -32,6 +33,19 @@
 // Longer than outages of zones and machines.
 constexpr duration max_upstream_silence = std::chrono::seconds(40);
 
+/// Refuses what this member could not reply to, or would store and fail to apply.
+/// @throws transport::malformed_frame
+void check_message(const consensus::message& received) {
+    parse_instance_name(received.from.name);
+    try {
+        if (received.state) {
+            (void)directory::decode_snapshot(received.state->data);
+        }
+    } catch (const invalid_input& e) {
+        throw transport::malformed_frame(e.what());
+    }
+}
+
 } // namespace
 
 control_node::control_node(asio::io_context& context, process_settings settings, call_sender send_call)
@@ -85,7 +99,9 @@
 
 void control_node::set_seeds(const std::vector<std::string>& ips) {
     for (const auto& it : ips) {
-        dial(peer_name(it));
+        if (is_usable_seed(it)) {
+            dial(peer_name(it));
+        }
     }
 }
 
@@ -118,7 +134,9 @@
     switch (received.type) {
     case frame_type::consensus_message: {
         const task_times::scope measured(task_times_, control_task::consensus);
-        group_->receive(app::from_wire(decode<wire::ConsensusMessage>(received.payload)));
+        const auto message = app::from_wire(decode<wire::ConsensusMessage>(received.payload));
+        check_message(message);
+        group_->receive(message);
         break;
     }
     case frame_type::join_request:
@@ -167,6 +185,13 @@
 }
 
 void control_node::tick() {
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait([this](const asio::error_code& ec) {
+        if (!ec) {
+            // A lease manager whose step ended halfway may wait for calls that were never sent.
+            lifecycle::run_or_end_process("control tick", [this] { tick(); });
+        }
+    });
     const time_point now = steady_now();
     log_late_tick(now);
     group_->tick();
@@ -193,12 +218,6 @@
         }
         broadcast_status();
     }
-    tick_timer_.expires_after(tick_interval);
-    tick_timer_.async_wait([this](const asio::error_code& ec) {
-        if (!ec) {
-            tick();
-        }
-    });
 }
 
 void control_node::on_leadership_change(bool leading, time_point now) {
@@ -268,7 +287,9 @@
         send_call_(std::move(it),
                    [this, generation, id](key_ranges::call_result result, const std::string& handover) {
                        if (generation == lease_manager_generation_ && lease_manager_) {
-                           lease_manager_->on_result(id, result, handover, steady_now());
+                           lifecycle::run_or_end_process("lease manager", [&] {
+                               lease_manager_->on_result(id, result, handover, steady_now());
+                           });
                        }
                    });
     }
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -114,8 +114,8 @@
         spdlog::warn("no more connections accepted server={} address={} connections={}", options.server,
                      to_string(options.address), connections);
     }
+    accept(); // first: a connection that cannot be handled must not be the last one
     on_connection(std::move(socket));
-    accept();
 }
 
 void listener::state::connection_closed() {
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -227,4 +227,39 @@
     }
 }
 
+// Guards against a control instance that ends when it passes on what an upstream has answered to a release.
+TEST_CASE("a handover that JSON cannot carry is left out of the next grant") {
+    const auto protocol = make_provider_protocol();
+    key_ranges::call grant;
+    grant.kind = key_ranges::call_kind::grant;
+    SUBCASE("bytes that are no text") {
+        grant.handover = protocol->read_handover({200, {{"X-Handover", "5c0e\xff"}}, {}, false});
+        CHECK(protocol->write_call(grant).find("handover") == std::string::npos);
+    }
+    SUBCASE("text is passed on") {
+        grant.handover = protocol->read_handover({200, {{"X-Handover", "5c0e7a21d94b36f8"}}, {}, false});
+        CHECK(protocol->write_call(grant).find(R"("handover":"5c0e7a21d94b36f8")") != std::string::npos);
+    }
+}
+
+// Guards against a stack that overflows: copies of a value call themselves for each level.
+TEST_CASE("a document that is nested deeply is refused") {
+    constexpr std::size_t levels = 1'000'000;
+    const std::string deep = std::string(levels, '[') + std::string(levels, ']');
+    SUBCASE("in a table of a desired state") {
+        CHECK_THROWS_AS(parse_configuration(replaced(desired_state, ",120,", "," + deep + ",")),
+                        invalid_input);
+    }
+    SUBCASE("in a report") {
+        CHECK_THROWS_AS(parse_announcement("u", replaced(report, "6", deep)), invalid_input);
+    }
+    SUBCASE("as objects") {
+        std::string objects;
+        for (std::size_t n = 0; n < levels; ++n) {
+            objects += R"({"a":)";
+        }
+        CHECK_THROWS_AS(parse_configuration(objects), invalid_input);
+    }
+}
+
 } // namespace kingcupseam::platform
