Control instances: stop cleanly while requests wait

A control instance that got SIGTERM while operators' or upstreams' requests were waiting for its control thread could end by signal 11 or 6 instead of with 0.

The context of the control thread was destroyed after that of the traffic thread. Handlers that it had not run hold replies, and these hold connections of the traffic thread's context, so they were released after what they refer to. A core file shows a signal 11 in free(), called by the destruction of the process. The context of the control thread is now destroyed first.

--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -80,8 +80,10 @@
 
     process_settings settings_;
     const protocol_adapter& protocol_;
-    app::worker control_;
     app::worker traffic_;
+    // Destroyed before traffic_: handlers that have not run hold replies, and these hold connections of
+    // traffic_.
+    app::worker control_;
     upstream_client client_{traffic_.io, call_client_options()};
     std::unique_ptr<control_node> node_;
     metrics::registry registry_;
