--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -87,8 +87,10 @@
     const protocol_adapter& protocol_;
     metrics::registry registry_;
     app::handler_failures failures_{registry_};
-    app::worker control_{"control", failures_};
     app::worker traffic_{"traffic", failures_};
+    // Destroyed before traffic_: handlers that have not run hold replies, and these hold connections of
+    // traffic_.
+    app::worker control_{"control", failures_};
     upstream_client client_{traffic_.io, call_client_options()};
     std::unique_ptr<control_node> node_;
     std::unique_ptr<app::http_server> server_;
