Tests: dispatcher tests listen at a port that no other program takes

The port was fixed and among the ephemeral ones, so two test programs at once, or an outgoing connection, took it from each other: 15 of 15 and 1 of 15 runs failed beside each other, of one test each.

--- a/tests/platform/dispatcher_harness.h
+++ b/tests/platform/dispatcher_harness.h
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -89,7 +91,8 @@
 
 class harness {
 public:
-    static constexpr std::uint16_t first_port = 38471;
+    // Differs between test programs that run at the same time, and no outgoing connection takes it.
+    static inline const std::uint16_t first_port = static_cast<std::uint16_t>(10240 + ::getpid() % 2000 * 10);
 
     explicit harness(fake_upstream::answer_function on_request,
                      std::unique_ptr<router::protocol_adapter> adapter = make_provider_protocol())
