Entries: keep a long request body once

An entry with one body of 63 MB under way took 207 MB; its machine has 160 or 260 MB, and a process that exceeds its machine's memory is killed.

The body that RESTinio had collected was copied into the request, and each attempt copied it again behind its head. Requests now share the collected body, an attempt consists of a head and that body, and both are written by one gather write. A connection that becomes idle drops its share.

Bodies of short requests are no longer copied either. Several bodies at once are not bounded by this.

--- a/src/app/http_server.cpp
+++ b/src/app/http_server.cpp
@@ -53,14 +53,17 @@
 // profile (60 s), so that the handler always answers first.
 constexpr std::chrono::seconds handler_timeout{90};
 
-http_request to_http_request(const restinio::request_t& source) {
+http_request to_http_request(const restinio::request_handle_t& handle) {
+    const restinio::request_t& source = *handle;
     http_request result;
     result.method = source.header().method().c_str();
     result.target = source.header().request_target();
     source.header().for_each_field([&](const restinio::http_header_field_t& field) {
         result.headers.emplace_back(field.name(), field.value());
     });
-    result.body = source.body();
+    if (!source.body().empty()) {
+        result.body = shared_bytes(std::shared_ptr<const std::string>(handle, &source.body()));
+    }
     result.connection = source.connection_id();
     return result;
 }
@@ -104,7 +107,7 @@
             [](restinio::socket_options_t& it) { it.set_option(asio::ip::tcp::no_delay{true}); })
         .connection_state_listener(std::make_shared<connection_listener>(std::move(on_change)))
         .request_handler([handler = std::move(handler)](const restinio::request_handle_t& request) {
-            handler(to_http_request(*request),
+            handler(to_http_request(request),
                     [request](http_response response) { send_response(request, std::move(response)); });
             return restinio::request_accepted();
         });
--- a/src/app/http_server.h
+++ b/src/app/http_server.h
@@ -17,11 +17,31 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+/// Immutable bytes with shared ownership: copies of a request do not copy its body.
+class shared_bytes {
+public:
+    shared_bytes() = default;
+    shared_bytes(std::string bytes)
+        : held_(bytes.empty() ? nullptr : std::make_shared<const std::string>(std::move(bytes))) {}
+    explicit shared_bytes(std::shared_ptr<const std::string> held) : held_(std::move(held)) {}
+
+    const std::string& str() const noexcept {
+        static const std::string none;
+        return held_ ? *held_ : none;
+    }
+    std::size_t size() const noexcept { return held_ ? held_->size() : 0; }
+    bool empty() const noexcept { return size() == 0; }
+    bool operator==(const shared_bytes& other) const noexcept { return str() == other.str(); }
+
+private:
+    std::shared_ptr<const std::string> held_;
+};
+
 struct http_request {
     std::string method;
     std::string target; ///< path and query as sent
     header_list headers;
-    std::string body;
+    shared_bytes body;
     std::uint64_t connection = 0; ///< id of the caller's connection at this server
 
     /// The target without its query.
--- a/src/app/instance/announcement.cpp
+++ b/src/app/instance/announcement.cpp
@@ -78,7 +78,7 @@
     if (request.method != "POST" || request.path() != "/v1/announce") {
         throw invalid_input(source_name, "target", "must be POST /v1/announce");
     }
-    const json body = json::parse(request.body, nullptr, false);
+    const json body = json::parse(request.body.str(), nullptr, false);
     if (!body.is_object()) {
         throw invalid_input(source_name, "body", "must be a JSON object");
     }
--- a/src/app/instance/entry.cpp
+++ b/src/app/instance/entry.cpp
@@ -107,7 +107,7 @@
     it->request.at_most_once = matched.matched_rule->runs == execution::at_most_once;
     it->request.method = request.method;
     it->request.target = request.target;
-    it->request.body = request.body;
+    it->request.body = request.body.str();
     it->request.idempotency_key = request.header("Idempotency-Key");
     copy_header(request, "Content-Type", it->request);
     copy_header(request, "X-Crash", it->request); // makes a stand-in upstream crash, for experiments
--- a/src/app/instance/operator_api.cpp
+++ b/src/app/instance/operator_api.cpp
@@ -191,7 +191,7 @@
                                   const http_reply& reply) {
     profile::change change;
     try {
-        change = {name, version_parameter(request), request.query("change_id"), request.body};
+        change = {name, version_parameter(request), request.query("change_id"), request.body.str()};
         if (change.change_id.empty()) {
             throw invalid_input("request", "change_id", "must be 1 to 64 characters");
         }
--- a/src/app/stand_in_endpoints.cpp
+++ b/src/app/stand_in_endpoints.cpp
@@ -128,7 +128,7 @@
 
 void stand_in_endpoints::handle_grant(const http_request& request,
                                       const stand_in_connection_ptr& connection) {
-    const auto body = json::parse(request.body);
+    const auto body = json::parse(request.body.str());
     const auto epoch = parse_unsigned("epoch", body.at("epoch"));
     const auto version = parse_unsigned("version", body.at("version"));
     const std::chrono::milliseconds lease(body.at("lease_ms").get<std::int64_t>());
@@ -154,7 +154,7 @@
 }
 
 http_response stand_in_endpoints::handle_cancel(const http_request& request) {
-    return json_response(200, {{"state", worker_.cancel(json::parse(request.body).at("request_id"))}});
+    return json_response(200, {{"state", worker_.cancel(json::parse(request.body.str()).at("request_id"))}});
 }
 
 http_response stand_in_endpoints::handle_health() const {
--- a/src/app/stand_in_server.cpp
+++ b/src/app/stand_in_server.cpp
@@ -62,6 +62,7 @@
     std::shared_ptr<shared_state> shared_;
     http_parser parser_{};
     http_request request_;
+    std::string body_;
     std::array<char, 16384> buffer_{};
     std::string unparsed_;
     std::string response_bytes_;
@@ -94,7 +95,7 @@
 }
 
 int connection::on_body(http_parser* parser, const char* at, std::size_t n) {
-    connection_of(parser).request_.body.append(at, n);
+    connection_of(parser).body_.append(at, n);
     return 0;
 }
 
@@ -139,6 +140,7 @@
         request_complete_ = false;
         http_parser_pause(&parser_, 0);
         request_.method = http_method_str(static_cast<http_method>(parser_.method));
+        request_.body = std::exchange(body_, {});
         shared_->on_request(std::exchange(request_, {}), shared_from_this());
     } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
         close();
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -273,6 +273,7 @@
     exchange request;
     request.target = queue.target().address;
     request.bytes = protocol_.write_attempt(it->request, queue.target(), left);
+    request.body = it->request.body;
     request.id = it->request.id;
     request.timeout = left;
     // Without an id, the answer could not be told from a second answer to an earlier request.
--- a/src/router/protocol_adapter.h
+++ b/src/router/protocol_adapter.h
@@ -23,7 +23,7 @@
     std::optional<directory::key_number> key;
     std::optional<duration> time_limit; ///< how long the caller waits for the answer
     app::header_list headers;           ///< headers to forward
-    std::string body;
+    app::shared_bytes body;
     std::uint64_t connection = 0;
 };
 
@@ -96,7 +96,7 @@
     virtual std::string id_header() const = 0;
     /// @throws invalid_input
     virtual caller_request read_request(app::http_request received) const = 0;
-    /// Serializes a request to an upstream.
+    /// Serializes a request to an upstream up to its body, which follows unchanged.
     /// @param left time after which the upstream stops working on it
     virtual std::string write_attempt(const caller_request& request, const directory::upstream& target,
                                       duration left) const = 0;
--- a/src/router/request_digest.cpp
+++ b/src/router/request_digest.cpp
@@ -35,7 +35,7 @@
             hash.add(value);
         }
     }
-    hash.add(request.body);
+    hash.add(request.body.str());
     return hash.value();
 }
 
--- a/src/router/routing_codec.cpp
+++ b/src/router/routing_codec.cpp
@@ -57,7 +57,7 @@
     out.host = source.request.host;
     out.key = source.request.key ? static_cast<std::int32_t>(*source.request.key) : no_key;
     out.headers = to_wire(source.request.headers);
-    out.body = source.request.body;
+    out.body = source.request.body.str();
     return transport::encode(out);
 }
 
--- a/src/router/upstream_client.h
+++ b/src/router/upstream_client.h
@@ -34,7 +34,8 @@
 
 struct exchange {
     endpoint_address target;
-    std::string bytes; ///< the serialized request
+    std::string bytes; ///< the serialized request, up to the body
+    app::shared_bytes body;
     std::string id;    ///< answers with another id are dropped; empty to accept any
     duration timeout{};
     bool new_connection = false;
--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -104,14 +104,17 @@
 void upstream_connection::write() {
     sent_ = true;
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(request_.bytes),
-                      [it = shared_from_this()](const asio::error_code& ec, std::size_t) {
-                          it->writing_ = false;
-                          // The read fails too, unless an early answer arrives.
-                          if (ec && !it->closed_ && !it->reading_) {
-                              it->finish(exchange_end::broken);
-                          }
-                      });
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(request_.bytes),
+                                                  asio::buffer(request_.body.str())};
+    asio::async_write(
+        socket_, parts,
+        [it = shared_from_this(), body = request_.body](const asio::error_code& ec, std::size_t) {
+            it->writing_ = false;
+            // The read fails too, unless an early answer arrives.
+            if (ec && !it->closed_ && !it->reading_) {
+                it->finish(exchange_end::broken);
+            }
+        });
 }
 
 bool upstream_connection::quiet() {
@@ -216,6 +219,7 @@
     idle_until_ = idle_since_ + std::min(limit ? *limit - idle_margin : owner_.settings_.idle_timeout,
                                          owner_.settings_.idle_timeout);
     count_buffered(0);
+    request_.body = {};
     const auto done = std::exchange(done_, nullptr);
     auto answer = std::move(parser_.answer());
     timer_.cancel();
@@ -253,6 +257,7 @@
     closed_ = true;
     open_ = false;
     done_ = nullptr;
+    request_.body = {};
     parser_.reset(); // frees what was received of an unfinished answer
     count_buffered(0);
     asio::error_code ec;
--- a/tests/platform/entry_processes.h
+++ b/tests/platform/entry_processes.h
@@ -65,6 +65,12 @@
         return caller.send("PUT", control_, "/config", body).status;
     }
     child_process& control() { return *control_process_; }
+    asio::ip::tcp::endpoint caller_endpoint(std::size_t n = 0) const {
+        const std::string& address = callers_.at(n);
+        const auto colon = address.find(':');
+        return {asio::ip::make_address(address.substr(0, colon)),
+                static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+    }
     child_process& entry(std::size_t n = 0) { return *processes_.at(n); }
 
     /// A request of its own id to an entry; its result once the request has ended.
--- a/tests/process/stand_in_process_test.cpp
+++ b/tests/process/stand_in_process_test.cpp
@@ -176,7 +176,7 @@
     std::vector<nlohmann::json> announced;
     const http_server listener(context, {.listen = {"127.0.0.1", instance_port}, .max_body_bytes = 65536},
                                [&](const http_request& request, const http_reply& reply) {
-                                   announced.push_back(nlohmann::json::parse(request.body));
+                                   announced.push_back(nlohmann::json::parse(request.body.str()));
                                    reply({202, {}, "{}"});
                                });
     child process(stand_in_arguments(
