Entries: bound the memory of long request bodies

Callers that sent several long bodies at once made an entry exceed its machine's memory, which ends its process and all its requests: six of 63 MB were seen to take 378 MB of 260.

Nothing bounded the sum of the bodies being received and of those under way. Bodies above 64 KiB now share a sixteenth of the machine's memory; the sockets of the others are not read until bytes come back at the end of a request. The oldest body always goes on, so bodies cannot block each other. A body that waits for 1 s is discarded as it arrives and answered with 503 and Retry-After: it was not passed on. While others wait, a connection whose body stalls is closed. Shorter requests take one comparison and are never held back.

--- a/include/kingcupseam/admission.h
+++ b/include/kingcupseam/admission.h
@@ -169,4 +169,50 @@
     std::shared_ptr<state> state_;
 };
 
+struct body_budget_options {
+    /// Bytes of all long bodies together; the oldest one may exceed them, so that bodies come to an end.
+    std::size_t max_bytes = 0;
+    /// A body that waits for longer is refused: callers abandon a request that is not read for a second.
+    duration max_wait = std::chrono::seconds(1);
+    /// While others wait, a body that grows by less than this in so many calls of find_expired() loses its
+    /// bytes. Counted in calls, since a process that was paused has received nothing in that time.
+    std::size_t min_progress = std::size_t{64} * 1024;
+    std::uint32_t progress_checks = 5;
+    auto operator<=>(const body_budget_options&) const = default;
+};
+
+/// Memory that the long request bodies of callers share. A body is received while bytes are left, and holds
+/// its bytes until the request has ended. Not thread-safe; the caller passes the time.
+class body_budget {
+public:
+    using body_id = std::uint64_t;
+    struct expired {
+        std::vector<body_id> refused; ///< have waited too long
+        std::vector<body_id> stalled; ///< are received too slowly
+        bool operator==(const expired&) const = default;
+    };
+
+    explicit body_budget(body_budget_options settings);
+
+    /// @returns the id of a new body, which is younger than all others
+    body_id add(std::size_t bytes);
+    void grow(body_id id, std::size_t bytes);
+    /// @returns false when the body has to wait until take_resumable() returns it
+    bool may_receive(body_id id, time_point now);
+    /// The body is received; it keeps its bytes.
+    void complete(body_id id);
+    /// Gives the bytes of a body back.
+    void remove(body_id id);
+    /// The waiting bodies that may be received now, oldest first; they no longer wait.
+    std::vector<body_id> take_resumable();
+    /// Bodies that are to be removed, for the others.
+    expired find_expired(time_point now);
+    std::size_t used() const;
+    std::size_t waiting() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
 } // namespace kingcupseam::admission
--- a/src/app/http_server.cpp
+++ b/src/app/http_server.cpp
@@ -1,5 +1,6 @@
 #include "app/http_server.h"
 
+#include "app/body_gate.h"
 #include "transport/listener.h"
 
 #include <restinio/all.hpp>
@@ -39,6 +40,7 @@
 };
 
 struct server_traits : restinio::default_single_thread_traits_t {
+    using stream_socket_t = gated_socket;
     using connection_state_listener_t = connection_listener;
     using request_handler_t =
         std::function<restinio::request_handling_status_t(std::shared_ptr<restinio::request_t>)>;
@@ -53,6 +55,41 @@
 // profile (60 s), so that the handler always answers first.
 constexpr std::chrono::seconds handler_timeout{90};
 
+constexpr int status_service_unavailable = 503;
+// A refused caller comes back when the bodies before its own may have ended.
+constexpr const char* retry_after_seconds = "0.5";
+
+int on_body(http_parser* parser, const char* at, std::size_t n) {
+    auto& context = *static_cast<restinio::impl::http_parser_ctx_t*>(parser->data);
+    incoming_body* const it = gated_socket::parsed();
+    if (it == nullptr) {
+        return restinio::impl::restinio_body_cb(parser, at, n);
+    }
+    if (it->refused) {
+        it->discarded += n;
+        return it->discarded > context.m_limits.max_body_size() ? -1 : 0;
+    }
+    try {
+        it->received = &context.m_body;
+        it->gate->on_bytes(*it, n);
+    } catch (const std::exception&) { // must not pass through the parser
+        return -1;
+    }
+    return restinio::impl::restinio_body_cb(parser, at, n);
+}
+
+http_parser_settings make_parser_settings() {
+    auto result = restinio::impl::create_parser_settings<server_traits::http_methods_mapper_t>();
+    result.on_body = on_body;
+    return result;
+}
+
+/// What of a received request the handler keeps.
+struct counted_request {
+    restinio::request_handle_t request;
+    std::shared_ptr<void> bytes; ///< gives them back
+};
+
 http_request to_http_request(const restinio::request_handle_t& handle) {
     const restinio::request_t& source = *handle;
     http_request result;
@@ -92,6 +129,26 @@
     builder.done();
 }
 
+void serve(restinio::request_handle_t request, const http_handler& handler) {
+    // The handler may answer requests of other connections, which parses what they have sent since.
+    if (incoming_body* const it = std::exchange(gated_socket::parsed(), nullptr)) {
+        auto bytes = it->gate->complete(*it);
+        if (std::exchange(it->refused, false)) {
+            it->discarded = 0;
+            send_response(request,
+                          {status_service_unavailable, {{"Retry-After", retry_after_seconds}}, {}, false});
+            return;
+        }
+        if (bytes) {
+            const auto counted =
+                std::make_shared<counted_request>(counted_request{std::move(request), std::move(bytes)});
+            request = restinio::request_handle_t(counted, counted->request.get());
+        }
+    }
+    handler(to_http_request(request),
+            [request](http_response response) { send_response(request, std::move(response)); });
+}
+
 auto make_settings(const http_server_options& options, connection_listener::observer on_change,
                    http_handler handler) {
     return restinio::server_settings_t<server_traits>{}
@@ -107,8 +164,7 @@
             [](restinio::socket_options_t& it) { it.set_option(asio::ip::tcp::no_delay{true}); })
         .connection_state_listener(std::make_shared<connection_listener>(std::move(on_change)))
         .request_handler([handler = std::move(handler)](const restinio::request_handle_t& request) {
-            handler(to_http_request(request),
-                    [request](http_response response) { send_response(request, std::move(response)); });
+            serve(request, handler);
             return restinio::request_accepted();
         });
 }
@@ -147,6 +203,7 @@
     void on_connection(asio::ip::tcp::socket socket);
     void on_connection_change(std::uint64_t connection, bool is_open);
 
+    std::shared_ptr<body_gate> bodies;
     std::function<void(std::uint64_t)> on_closed;
     std::set<std::uint64_t> open_connections;
     std::shared_ptr<server_traits::timer_manager_t> timer_manager;
@@ -156,6 +213,7 @@
 
 void http_server::state::open(asio::io_context& context, const http_server_options& options,
                               http_handler handler) {
+    bodies = options.bodies;
     on_closed = options.on_connection_closed;
     auto settings = make_settings(
         options,
@@ -169,9 +227,7 @@
     timer_manager = settings.timer_factory()->create(context);
     timer_manager->start();
     factory = std::make_unique<connection_factory>(
-        std::make_shared<connection_settings>(
-            settings, restinio::impl::create_parser_settings<server_traits::http_methods_mapper_t>(),
-            timer_manager),
+        std::make_shared<connection_settings>(settings, make_parser_settings(), timer_manager),
         settings.socket_options_setter());
     accepting = std::make_unique<transport::listener>(
         context, transport::listener_options{options.name, options.listen, options.max_connections},
@@ -182,7 +238,7 @@
     const std::size_t before = open_connections.size();
     try {
         const auto remote = socket.remote_endpoint();
-        factory->create_new_connection(std::move(socket), remote, {nullptr})->init();
+        factory->create_new_connection(gated_socket(std::move(socket), bodies), remote, {nullptr})->init();
     } catch (const std::exception& e) { // for example the peer has reset it
         spdlog::debug("connection not served problem=\"{}\"", e.what());
         if (open_connections.size() == before) {
@@ -209,6 +265,9 @@
 
 http_server::~http_server() {
     state_->timer_manager->stop();
+    if (state_->bodies) {
+        state_->bodies->stop();
+    }
 }
 
 void http_server::stop_accepting() {
--- a/src/app/http_server.h
+++ b/src/app/http_server.h
@@ -15,6 +15,8 @@
 
 namespace kingcupseam::app {
 
+class body_gate;
+
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
 /// Immutable bytes with shared ownership: copies of a request do not copy its body.
@@ -82,6 +84,8 @@
     /// answer.
     std::size_t max_pipelined = 1;
     duration idle_timeout = std::chrono::seconds(120);
+    /// Bounds the memory of long request bodies; without it, all are received at once.
+    std::shared_ptr<body_gate> bodies = nullptr;
     /// Called on the io_context's thread when a connection has closed.
     std::function<void(std::uint64_t connection)> on_connection_closed = nullptr;
 };
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -1,5 +1,6 @@
 #include "router/process.h"
 
+#include "app/body_gate.h"
 #include "app/http_server.h"
 #include "app/worker.h"
 #include "router/control_links.h"
@@ -136,6 +137,9 @@
     options.max_connections = max_caller_connections(descriptor_limit());
     options.max_body_bytes = std::size_t{64} * 1024 * 1024;
     options.max_pipelined = max_pipelined;
+    admission::body_budget_options bodies;
+    bodies.max_bytes = max_long_bodies(settings_.memory_mb);
+    options.bodies = std::make_shared<app::body_gate>(traffic_.io, bodies, registry_);
     options.on_connection_closed = [this](std::uint64_t connection) {
         // Deferred, since the server may be delivering an answer on this connection.
         asio::post(traffic_.io, [this, connection] { dispatcher_->on_connection_closed(connection); });
--- a/tests/platform/long_body_test.cpp
+++ b/tests/platform/long_body_test.cpp
@@ -104,9 +104,11 @@
         if (times == 0 && !end.empty()) {
             write(end);
         } else if (times > 0) {
+            writing = true;
             asio::async_write(
                 socket, asio::buffer(*piece),
                 [self = shared_from_this(), piece, times, end](const asio::error_code& ec, std::size_t) {
+                    self->writing = false;
                     if (!ec) {
                         self->write(piece, times - 1, end);
                     }
@@ -126,6 +128,7 @@
 
     std::string id;
     asio::ip::tcp::socket socket;
+    bool writing = false;
     bool ended = false;
     int status = 0; ///< 0 when the connection ended without an answer
     std::string answer_head;
@@ -160,6 +163,14 @@
         it->write(std::make_shared<const std::string>(chunk), times, "0\r\n\r\n");
         return it;
     }
+    void write_slowly(const caller_ptr& it) {
+        entry.run_after(milliseconds(10), [this, it] {
+            if (!it->writing) {
+                it->write("x");
+            }
+            write_slowly(it);
+        });
+    }
     /// Small requests go on beside the bodies until all have ended.
     void finish() {
         const time_point end = steady_now() + max_test_time;
@@ -215,4 +226,98 @@
     it.check_memory(260);
 }
 
+// Guards against an entry that keeps all bodies that callers send at once: six of 63 MB took 378 MB of 260.
+TEST_CASE("long bodies at once do not exceed the memory of an entry") {
+    std::size_t memory_mb = 260;
+    std::size_t bodies = 2;
+    SUBCASE("two") {}
+    SUBCASE("six") {
+        bodies = 6;
+    }
+    SUBCASE("eight") {
+        bodies = 8;
+    }
+    SUBCASE("two at a small machine") {
+        memory_mb = 160;
+    }
+    SUBCASE("eight at a small machine") {
+        memory_mb = 160;
+        bodies = 8;
+    }
+    long_bodies it(memory_mb);
+    for (std::size_t n = 0; n < bodies; ++n) {
+        it.send_with_length();
+    }
+    it.finish();
+    const int answered = it.check_answers();
+    CHECK(answered >= 1);
+    it.check_memory(memory_mb);
+    MESSAGE(answered << " of " << bodies << " bodies were served");
+}
+
+// Guards against a body that waits until its caller has given up, and against a refusal of one that runs.
+TEST_CASE("a long body that finds no memory in time is refused and did not run") {
+    long_bodies it(160);
+    it.upstream.delay = [&](std::function<void()> answer) {
+        it.entry.run_after(milliseconds(2000), std::move(answer));
+    };
+    for (int n = 0; n < 4; ++n) {
+        it.send_with_length();
+    }
+    it.finish();
+    const int answered = it.check_answers();
+    CHECK(answered >= 1);
+    CHECK(answered < 4);
+    it.check_memory(160);
+    // Their bytes are given back.
+    it.callers.clear();
+    it.send_with_length();
+    it.finish();
+    CHECK(it.check_answers() == 1);
+}
+
+// Guards against bytes that are never given back: callers that stop or leave in the middle of their bodies
+// blocked those of all others.
+TEST_CASE("callers that stop in the middle of a long body do not block others") {
+    constexpr std::size_t stopping = 4;
+    std::string framing = "Content-Length: " + std::to_string(long_body_bytes);
+    std::string start;
+    bool leaves = false;
+    SUBCASE("with a length") {}
+    SUBCASE("a chunk announced and never sent") {
+        framing = "Transfer-Encoding: chunked";
+        start = "3c14dc0\r\n";
+    }
+    bool trickles = false;
+    SUBCASE("one byte at a time") {
+        trickles = true;
+    }
+    SUBCASE("the caller leaves") {
+        leaves = true;
+    }
+    long_bodies it(160);
+    const std::string part(20 * megabyte, 'x');
+    for (std::size_t n = 0; n < stopping; ++n) {
+        const auto caller = it.add_caller();
+        caller->write(caller->head(framing).append(start).append(part));
+        if (trickles) {
+            it.write_slowly(caller);
+        }
+    }
+    it.entry.run_for(milliseconds(500));
+    for (const auto& caller : it.callers) {
+        if (leaves) {
+            caller->socket.close();
+        }
+    }
+    it.callers.clear();
+    // The first one may be refused while the stopped ones hold their bytes.
+    for (int n = 0; n < 3; ++n) {
+        it.send_with_length();
+        it.finish();
+    }
+    CHECK(it.check_answers() >= 2);
+    it.check_memory(160);
+}
+
 } // namespace kingcupseam::platform::test
--- a/tests/router/memory_limits_test.cpp
+++ b/tests/router/memory_limits_test.cpp
@@ -21,4 +21,19 @@
     }
 }
 
+// Guards against a bound that does not follow the machine: bodies took more than it had.
+TEST_CASE("long request bodies take up a part of the machine's memory") {
+    constexpr std::size_t megabyte = 1'000'000;
+    SUBCASE("a sixteenth") {
+        CHECK(max_long_bodies(160) == 10 * megabyte);
+        CHECK(max_long_bodies(16'000) == 1000 * megabyte);
+    }
+    SUBCASE("some on a tiny one") {
+        CHECK(max_long_bodies(1) == 4 * megabyte);
+    }
+    SUBCASE("by default the kernel's figure counts") {
+        CHECK(max_long_bodies(0) >= 4 * megabyte);
+    }
+}
+
 } // namespace kingcupseam::router
