--- a/src/app/http_server.h
+++ b/src/app/http_server.h
@@ -15,13 +15,35 @@
 
 namespace kingcupseam::app {
 
+class body_gate;
+
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+/// Immutable bytes with shared ownership: copies of a request do not copy its body.
+class shared_bytes {
+public:
+    shared_bytes() = default;
+    shared_bytes(std::string bytes)
+        : held_(bytes.empty() ? nullptr : std::make_shared<const std::string>(std::move(bytes))) {}
+    explicit shared_bytes(std::shared_ptr<const std::string> held) : held_(std::move(held)) {}
+
+    const std::string& str() const noexcept {
+        static const std::string none;
+        return held_ ? *held_ : none;
+    }
+    std::size_t size() const noexcept { return held_ ? held_->size() : 0; }
+    bool empty() const noexcept { return size() == 0; }
+    bool operator==(const shared_bytes& other) const noexcept { return str() == other.str(); }
+
+private:
+    std::shared_ptr<const std::string> held_;
+};
+
 struct http_request {
     std::string method;
     std::string target; ///< path and query as sent
     header_list headers;
-    std::string body;
+    shared_bytes body;
     std::uint64_t connection = 0; ///< id of the caller's connection at this server
 
     /// The target without its query.
@@ -62,6 +84,8 @@
     /// answer.
     std::size_t max_pipelined = 1;
     duration idle_timeout = std::chrono::seconds(120);
+    /// Bounds the memory of long request bodies; without it, all are received at once.
+    std::shared_ptr<body_gate> bodies = nullptr;
     /// Called on the io_context's thread when a connection has closed.
     std::function<void(std::uint64_t connection)> on_connection_closed = nullptr;
 };
--- a/tests/platform/data_center_choice_test.cpp
+++ b/tests/platform/data_center_choice_test.cpp
@@ -5,7 +5,7 @@
 // Guards against needless traffic between data centres, which is expensive: requests were sent to another one
 // although a local upstream could answer in time.
 TEST_CASE("a request without a key stays in its entry's data centre while it can be answered in time there") {
-    constexpr std::uint16_t remote_port = harness::first_port + 1;
+    const std::uint16_t remote_port = harness::first_port + 1;
     harness it([](const http_request&) { return std::nullopt; });
     fake_upstream remote(it.context, remote_port,
                          [](const http_request& request) { return signed_answer(request); });
--- a/tests/platform/overload_test.cpp
+++ b/tests/platform/overload_test.cpp
@@ -43,7 +43,7 @@
 // every answer came a little late, and the entry went on so after the load had gone down.
 TEST_CASE("a gate under overload answers in time most of what it answers") {
     harness it([](const http_request& request) { return signed_answer(request); });
-    constexpr std::uint16_t port = harness::first_port + 1;
+    const std::uint16_t port = harness::first_port + 1;
     slow_upstream upstream(it.context, port);
     fake_gates gates;
     gates.gate.clear();
--- a/tests/platform/paused_upstream_test.cpp
+++ b/tests/platform/paused_upstream_test.cpp
@@ -50,7 +50,7 @@
 TEST_CASE("a request that waits for an upstream that asks for a long pause is refused at once") {
     std::optional<app::http_reply> held;
     harness it([](const http_request& request) { return signed_answer(request); });
-    constexpr std::uint16_t port = harness::first_port + 2;
+    const std::uint16_t port = harness::first_port + 2;
     app::http_server_options options;
     options.listen = {"127.0.0.1", port};
     app::http_server upstream(it.context, options,
