--- a/tests/logging/bounded_writer_test.cpp
+++ b/tests/logging/bounded_writer_test.cpp
@@ -150,7 +150,10 @@
         ::close(file);
     }
     SUBCASE("when the descriptor is closed") {
-        CHECK_FALSE(bounded_writer(::fcntl(0, F_DUPFD, 1000) + 1).write("line\n"));
+        const int closed = ::fcntl(0, F_DUPFD_CLOEXEC, 0);
+        REQUIRE(closed > 0);
+        ::close(closed);
+        CHECK_FALSE(bounded_writer(closed).write("line\n"));
     }
     CHECK(steady_now() - start < long_time);
 }
