Entries: a lookup that ran with an error is not refused as not run

A lookup whose upstream answered 500 is repeated. When every repetition was rejected, the caller got 503, which states that the request has not run. The entry did not note that the first attempt had run; it now answers 502.

The new test got 503 on the former code.

--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -108,6 +108,7 @@
     }
     if (!success && answer.status >= 500 && it->answer_by() - now > settings_.min_attempt_time * 2) {
         it->last_failed_upstream = it->upstream;
+        it->in_doubt = true;
         if (retry_immediately(it)) {
             return;
         }
--- a/tests/platform/dispatcher_test.cpp
+++ b/tests/platform/dispatcher_test.cpp
@@ -139,6 +139,18 @@
     }
 }
 
+// Guards against a 503 for a lookup that ran: its first answer was a 500, and its repetition was rejected.
+TEST_CASE("a request that an upstream ran with an error is not answered as not run") {
+    int n = 0;
+    harness it([&](const http_request&) {
+        return n++ == 0 ? http_response{500, {{"X-Request-Id", "id-1"}}, "ran", false}
+                        : http_response{421, {{"X-Request-Id", "id-1"}, {"X-Not-Executed", "1"}}, {}, false};
+    });
+    it.configure();
+    CHECK(it.send("/safe/1").status == 502);
+    CHECK(n > 1);
+}
+
 // Guards against requests without an end, and against work at the upstream for a caller that has left.
 TEST_CASE("a request that its upstream does not answer") {
     harness it([](const http_request&) { return std::nullopt; });
