Soak: connect from addresses of the run's own network

Its connections came from 127.0.0.1, where their ports and those in TIME_WAIT could be the ports on which other programs on the machine want to listen.

--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -6,7 +6,7 @@
 import signal
 import socket
 
-from soak_http import ERRORS
+from soak_http import ERRORS, source_of
 
 LOADED_S = 0.1  # age from which a process handles signals; only the kind early_hup sends SIGHUP before
 CONSEQUENCE_S = 3.0  # time in which a machine must accept connections again after a fault
@@ -133,6 +133,7 @@
         try:
             for n in range(fault["connections"]):
                 connections.append(socket.socket())
+                connections[-1].bind((source_of(host), 0))
                 connections[-1].setblocking(False)
                 with contextlib.suppress(OSError):
                     connections[-1].connect((host, int(port)))
--- a/tools/soak_http.py
+++ b/tools/soak_http.py
@@ -37,9 +37,14 @@
     return lines[0].split(" ", 2), headers, body
 
 
+def source_of(host):
+    """An address of the run's network. Connections from 127.0.0.1 could take the ports of other programs there."""
+    return ".".join(host.split(".")[:2]) + ".0.2"
+
+
 async def connect(address):
     host, port = address.rsplit(":", 1)
-    return await asyncio.open_connection(host, int(port), limit=MAX_HEAD_BYTES)
+    return await asyncio.open_connection(host, int(port), limit=MAX_HEAD_BYTES, local_addr=(source_of(host), 0))
 
 
 async def call(address, method, path, body=b"", headers=None, timeout=1.0):
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -4,8 +4,9 @@
 import random
 
 # Kind and weight.
-KINDS = {"hup": 3, "early_hup": 2, "term": 3, "beside": 2, "kill": 3, "control_loss": 2, "pause": 4,
-         "settings": 3, "port": 2, "output": 2, "descriptors": 1, "file_size": 2, "reset": 2, "abandon": 2, "configs": 2, "upstream": 4}
+KINDS = {"hup": 3, "early_hup": 2, "term": 3, "beside": 2, "kill": 3, "control_loss": 2, "pause": 4, "settings": 3,
+         "port": 2, "output": 2, "descriptors": 1, "file_size": 2, "reset": 2, "abandon": 2, "configs": 2,
+         "upstream": 4}
 OPTIONS = ("seed", "seconds", "entries", "upstreams")  # of the run, written with its plan
 RESTARTS = ("early_hup", "term", "beside", "kill", "control_loss", "port")
 RESTART_S = 8.0  # a machine is not restarted again within this time: its former process may take 6 s to stop
