Processes: open standard streams that are closed at the start

A process that started without standard streams gave their descriptors to its event loop, and its log lines went there (seen once for each role: eventfd, epoll, timerfd). They are opened on /dev/null now.

--- a/include/kingcupseam/lifecycle.h
+++ b/include/kingcupseam/lifecycle.h
@@ -57,6 +57,10 @@
 /// size of files (EFBIG).
 void report_write_errors() noexcept;
 
+/// Opens /dev/null for standard streams that are closed, so that no socket or file gets their descriptors and
+/// with them the lines of the log.
+void open_standard_streams() noexcept;
+
 /// Records that the process is to stop. Thread-safe.
 void request_stop() noexcept;
 /// True after request_stop(), or while a held signal asks the process to stop. Waits that may be long check
--- a/src/lifecycle/signals.cpp
+++ b/src/lifecycle/signals.cpp
@@ -1,6 +1,10 @@
 #include <kingcupseam/lifecycle.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
+#include <cerrno>
 #include <csignal>
 
 namespace kingcupseam::lifecycle {
@@ -38,6 +42,14 @@
     std::signal(SIGXFSZ, SIG_IGN);
 }
 
+void open_standard_streams() noexcept {
+    for (const int it : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+        if (::fcntl(it, F_GETFD) < 0 && errno == EBADF) {
+            ::open("/dev/null", O_RDWR); // gets the lowest descriptor that is free
+        }
+    }
+}
+
 void request_stop() noexcept {
     stop_requested_flag = true;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -73,6 +73,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    kingcupseam::lifecycle::open_standard_streams();
     int code = exit_success;
     try {
         code = dispatch(arguments(argv + 1, argv + argc));
--- a/tests/platform/output_test.cpp
+++ b/tests/platform/output_test.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 
 namespace kingcupseam::platform::test {
 
@@ -111,4 +112,27 @@
     }
 }
 
+// Guards against log lines that are written into a socket or an event descriptor.
+TEST_CASE("a process that starts without standard streams does not use their descriptors for others") {
+    for (const std::string role : {"entry", "control"}) {
+        CAPTURE(role);
+        single_process it(role);
+        it.start({.streams_closed = true});
+        const std::string folder = "/proc/" + std::to_string(it.process().pid()) + "/fd/";
+        const auto target = [&](int number) {
+            std::error_code ec;
+            return std::filesystem::read_symlink(folder + std::to_string(number), ec).string();
+        };
+        const time_point end = steady_now() + std::chrono::seconds(5);
+        while (target(3).empty() && steady_now() < end) {
+            ::usleep(2000);
+        }
+        for (const int number : {0, 1, 2}) {
+            CHECK(target(number) == "/dev/null");
+        }
+        it.process().signal(SIGTERM);
+        CHECK(it.process().wait(std::chrono::seconds(6)) == 0);
+    }
+}
+
 } // namespace kingcupseam::platform::test
--- a/tests/support/process_cluster.h
+++ b/tests/support/process_cluster.h
@@ -29,6 +29,7 @@
 /// What a process finds when it starts.
 struct child_surroundings {
     int output = -1;                              ///< descriptor for its output; -1: the log file
+    bool streams_closed = false;                  ///< it starts without standard streams
     std::optional<std::size_t> max_descriptors;   ///< RLIMIT_NOFILE
     std::optional<std::size_t> max_file_bytes;    ///< RLIMIT_FSIZE; its log counts as well, pass an output
     std::optional<std::size_t> max_address_bytes; ///< RLIMIT_AS
@@ -78,6 +79,9 @@
                 ::dup2(out, 2);
                 // The test's own sockets would keep their ports in use.
                 ::close_range(3, ~0U, 0);
+                if (surroundings.streams_closed) {
+                    ::close_range(0, 2, 0);
+                }
                 surroundings.apply_limits();
                 ::execv(argv[0], argv.data());
             }
