--- a/src/router/upstream_client.h
+++ b/src/router/upstream_client.h
@@ -36,7 +36,7 @@
     endpoint_address target;
     std::string bytes; ///< the serialized request, up to the body
     app::shared_bytes body;
-    std::string id;    ///< answers with another id are dropped; empty to accept any
+    std::string id; ///< answers with another id are dropped; empty to accept any
     duration timeout{};
     bool new_connection = false;
     duration max_idle = std::chrono::seconds(60); ///< longest idle time of a connection that is reused
