Control: no calls to upstreams that were planned before a wait for the disk

A leader whose disk is full or fails waits in the middle of a step, and another may lead meanwhile. The step then sent the grants that it had planned before. An upstream that had not heard from the new leader would take such a grant, beside the new owner of its keys.

Calls are sent before the command is written, and the leadership is asked for again after writes of the same step.

--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -259,9 +259,10 @@
         replace_lost_members(now);
         remove_silent_upstreams(now);
     }
-    if (now >= next_lease_manager_run_) {
+    // The leadership may have ended while the disk was written.
+    if (now >= next_lease_manager_run_ && group_->leads()) {
         next_lease_manager_run_ = now + lease_manager_interval;
-        run_lease_manager(now);
+        run_lease_manager(steady_now());
     }
 }
 
@@ -271,17 +272,7 @@
     update_limits(now);
     auto effects = lease_manager_->tick({*state_machine_.state(), conditions_, key_loads_}, now);
     const std::uint64_t generation = lease_manager_generation_;
-    if (!effects.command.empty()) {
-        for (const auto& it : effects.command.assignments) {
-            spdlog::info("range assigned service={} first={} last={} upstream={}", it.service, it.first,
-                         it.last, it.owner.id);
-        }
-        propose(effects.command, [this, generation](bool committed) {
-            if (generation == lease_manager_generation_ && lease_manager_) {
-                lease_manager_->on_command(committed);
-            }
-        });
-    }
+    // Before the command, whose write may outlast the leadership under which the calls were planned.
     for (auto& it : effects.calls) {
         const std::uint64_t id = it.id;
         send_call_(std::move(it),
@@ -293,6 +284,17 @@
                        }
                    });
     }
+    if (!effects.command.empty()) {
+        for (const auto& it : effects.command.assignments) {
+            spdlog::info("range assigned service={} first={} last={} upstream={}", it.service, it.first,
+                         it.last, it.owner.id);
+        }
+        propose(effects.command, [this, generation](bool committed) {
+            if (generation == lease_manager_generation_ && lease_manager_) {
+                lease_manager_->on_command(committed);
+            }
+        });
+    }
 }
 
 void control_node::replace_lost_members(time_point now) {
