Servers: count connections by their sockets, and wait for descriptors at the start

A connection that RESTinio destroys without closing it first kept its place for ever; with all places gone, the server would not accept any more. Each socket holds its place now and gives it back when it is closed or destroyed. A want of descriptors or memory while a server begins to listen is waited for like a port in use; it ended the process. A listener accepts again before it logs, and an entry is ready exactly while its listener accepts.

An exception that must end the process no longer ends only the connection in whose request it was thrown, as RESTinio catches it (`serve`).

--- a/src/app/body_gate.h
+++ b/src/app/body_gate.h
@@ -72,9 +72,11 @@
 /// Socket of a connection whose reads a body_gate may hold back.
 class gated_socket : public asio::ip::tcp::socket {
 public:
-    explicit gated_socket(asio::ip::tcp::socket accepted, const std::shared_ptr<body_gate>& gate = nullptr)
+    /// @param slot released when the socket is closed or destroyed
+    explicit gated_socket(asio::ip::tcp::socket accepted, const std::shared_ptr<body_gate>& gate = nullptr,
+                          std::shared_ptr<void> slot = nullptr)
         : asio::ip::tcp::socket(std::move(accepted)),
-          incoming_(gate ? std::make_unique<incoming_body>(gate) : nullptr) {}
+          incoming_(gate ? std::make_unique<incoming_body>(gate) : nullptr), slot_(std::move(slot)) {}
 
     template <class Buffers, class Handler>
     void async_read_some(const Buffers& buffers, Handler handler) {
@@ -98,6 +100,7 @@
     void close() {
         drop_waiting_read();
         asio::ip::tcp::socket::close();
+        slot_.reset();
     }
 
     /// The request whose bytes the thread is parsing; null outside of a read.
@@ -131,6 +134,7 @@
     }
 
     std::unique_ptr<incoming_body> incoming_;
+    std::shared_ptr<void> slot_;
 };
 
 } // namespace kingcupseam::app
--- a/src/app/http_server.cpp
+++ b/src/app/http_server.cpp
@@ -3,12 +3,14 @@
 #include "app/body_gate.h"
 #include "transport/listener.h"
 
+#include <kingcupseam/lifecycle.h>
+
 #include <restinio/all.hpp>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <cctype>
-#include <set>
+#include <exception>
 #include <string_view>
 
 namespace kingcupseam::app {
@@ -22,26 +24,24 @@
 
 namespace {
 
-/// Reports accepted and closed connections to the server.
-class connection_listener {
+/// Reports closed connections to the owner of the server.
+class close_listener {
 public:
-    using observer = std::function<void(std::uint64_t connection, bool open)>;
-    explicit connection_listener(observer on_change) : on_change_(std::move(on_change)) {}
+    explicit close_listener(std::function<void(std::uint64_t)> on_closed)
+        : on_closed_(std::move(on_closed)) {}
     void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
-        if (restinio::holds_alternative<restinio::connection_state::accepted_t>(notice.cause())) {
-            on_change_(notice.connection_id(), true);
-        } else if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
-            on_change_(notice.connection_id(), false);
+        if (on_closed_ && restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+            on_closed_(notice.connection_id());
         }
     }
 
 private:
-    observer on_change_;
+    std::function<void(std::uint64_t)> on_closed_;
 };
 
 struct server_traits : restinio::default_single_thread_traits_t {
     using stream_socket_t = gated_socket;
-    using connection_state_listener_t = connection_listener;
+    using connection_state_listener_t = close_listener;
     using request_handler_t =
         std::function<restinio::request_handling_status_t(std::shared_ptr<restinio::request_t>)>;
 };
@@ -151,8 +151,20 @@
             [request](http_response response) { send_response(request, std::move(response)); });
 }
 
-auto make_settings(const http_server_options& options, connection_listener::observer on_change,
-                   http_handler handler) {
+/// RESTinio ends a connection whose handler throws. What must end the process is thrown again outside of it.
+void serve_or_pass_on(asio::io_context& context, const restinio::request_handle_t& request,
+                      const http_handler& handler) {
+    try {
+        serve(request, handler);
+    } catch (const std::exception& e) {
+        if (lifecycle::scope_of(e) == lifecycle::failure_scope::process) {
+            asio::post(context, [failure = std::current_exception()] { std::rethrow_exception(failure); });
+        }
+        throw;
+    }
+}
+
+auto make_settings(asio::io_context& context, const http_server_options& options, http_handler handler) {
     return restinio::server_settings_t<server_traits>{}
         .max_pipelined_requests(options.max_pipelined)
         .read_next_http_message_timelimit(options.idle_timeout)
@@ -164,9 +176,9 @@
                                       .max_url_size(max_target_bytes))
         .socket_options_setter(
             [](restinio::socket_options_t& it) { it.set_option(asio::ip::tcp::no_delay{true}); })
-        .connection_state_listener(std::make_shared<connection_listener>(std::move(on_change)))
-        .request_handler([handler = std::move(handler)](const restinio::request_handle_t& request) {
-            serve(request, handler);
+        .connection_state_listener(std::make_shared<close_listener>(options.on_connection_closed))
+        .request_handler([&context, handler = std::move(handler)](const restinio::request_handle_t& request) {
+            serve_or_pass_on(context, request, handler);
             return restinio::request_accepted();
         });
 }
@@ -203,11 +215,8 @@
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
     void open(asio::io_context& context, const http_server_options& options, http_handler handler);
     void on_connection(asio::ip::tcp::socket socket);
-    void on_connection_change(std::uint64_t connection, bool is_open);
 
     std::shared_ptr<body_gate> bodies;
-    std::function<void(std::uint64_t)> on_closed;
-    std::set<std::uint64_t> open_connections;
     std::shared_ptr<server_traits::timer_manager_t> timer_manager;
     std::unique_ptr<connection_factory> factory;
     std::unique_ptr<transport::listener> accepting;
@@ -216,16 +225,7 @@
 void http_server::state::open(asio::io_context& context, const http_server_options& options,
                               http_handler handler) {
     bodies = options.bodies;
-    on_closed = options.on_connection_closed;
-    auto settings = make_settings(
-        options,
-        // Connections may outlive the server.
-        [weak = weak_from_this()](std::uint64_t connection, bool is_open) {
-            if (const auto it = weak.lock()) {
-                it->on_connection_change(connection, is_open);
-            }
-        },
-        std::move(handler));
+    auto settings = make_settings(context, options, std::move(handler));
     timer_manager = settings.timer_factory()->create(context);
     timer_manager->start();
     factory = std::make_unique<connection_factory>(
@@ -237,26 +237,18 @@
 }
 
 void http_server::state::on_connection(asio::ip::tcp::socket socket) {
-    const std::size_t before = open_connections.size();
+    // Connections may outlive the server.
+    const std::shared_ptr<void> slot(nullptr, [weak = weak_from_this()](void*) {
+        if (const auto it = weak.lock()) {
+            it->accepting->connection_closed();
+        }
+    });
     try {
         const auto remote = socket.remote_endpoint();
-        factory->create_new_connection(gated_socket(std::move(socket), bodies), remote, {nullptr})->init();
+        factory->create_new_connection(gated_socket(std::move(socket), bodies, slot), remote, {nullptr})
+            ->init();
     } catch (const std::exception& e) { // for example the peer has reset it
         spdlog::debug("connection not served problem=\"{}\"", e.what());
-        if (open_connections.size() == before) {
-            accepting->connection_closed();
-        }
-    }
-}
-
-void http_server::state::on_connection_change(std::uint64_t connection, bool is_open) {
-    if (is_open) {
-        open_connections.insert(connection);
-    } else if (open_connections.erase(connection) > 0) {
-        accepting->connection_closed();
-        if (on_closed) {
-            on_closed(connection);
-        }
     }
 }
 
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -4,6 +4,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <utility>
 
 namespace kingcupseam::transport {
@@ -14,9 +17,11 @@
 constexpr duration retry_interval = std::chrono::milliseconds(100);
 constexpr int retries_per_log_line = 100; // a line each 10 s
 
-/// True for an address that another socket holds, or that the machine does not have yet.
+/// True for an address that another socket holds or that the machine does not have yet, and for lack of
+/// descriptors or memory.
 bool may_become_free(const asio::error_code& ec) {
-    return ec == asio::error::address_in_use || ec.value() == EADDRNOTAVAIL;
+    constexpr std::array codes{EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS, ENOMEM};
+    return std::find(codes.begin(), codes.end(), ec.value()) != codes.end();
 }
 
 } // namespace
@@ -42,6 +47,7 @@
     std::size_t connections = 0;
     int failures = 0; ///< in a row
     bool accept_pending = false;
+    bool retrying = false; ///< in a pause after a failure
     bool closed = false;
 };
 
@@ -75,8 +81,8 @@
         if (!may_become_free(ec)) {
             throw io_error(options.server + " at " + to_string(options.address), "listen", ec.value());
         }
-        log_failure("listen", ec);
         retry_later(&state::listen);
+        log_failure("listen", ec);
         return;
     }
     if (failures > 0) {
@@ -90,7 +96,6 @@
     if (accept_pending || closed || connections >= options.max_connections) {
         return;
     }
-    accept_pending = true;
     acceptor.async_accept(
         [it = shared_from_this()](const asio::error_code& ec, asio::ip::tcp::socket socket) {
             it->accept_pending = false;
@@ -98,23 +103,25 @@
                 it->on_accept(ec, std::move(socket));
             }
         });
+    accept_pending = true;
 }
 
 void listener::state::on_accept(const asio::error_code& ec, asio::ip::tcp::socket socket) {
     if (ec) {
-        log_failure("accept", ec);
         retry_later(&state::accept);
+        log_failure("accept", ec);
         return;
     }
+    ++connections;
+    accept(); // first: a connection that cannot be handled must not be the last one
     if (failures > 0) {
         spdlog::info("accepting again server={} address={} connections={} after_failures={}", options.server,
                      to_string(options.address), connections, std::exchange(failures, 0));
     }
-    if (++connections == options.max_connections) {
+    if (connections == options.max_connections) {
         spdlog::warn("no more connections accepted server={} address={} connections={}", options.server,
                      to_string(options.address), connections);
     }
-    accept(); // first: a connection that cannot be handled must not be the last one
     on_connection(std::move(socket));
 }
 
@@ -123,14 +130,16 @@
         spdlog::info("accepting again server={} address={} connections={}", options.server,
                      to_string(options.address), connections);
     }
-    if (failures == 0 && acceptor.is_open()) {
+    if (!retrying && acceptor.is_open()) {
         accept();
     }
 }
 
 void listener::state::retry_later(void (state::*step)()) {
     retry_timer.expires_after(retry_interval);
+    retrying = true;
     retry_timer.async_wait([it = shared_from_this(), step](const asio::error_code& ec) {
+        it->retrying = false;
         if (!ec && !it->closed) {
             (it.get()->*step)();
         }
@@ -165,8 +174,7 @@
 }
 
 bool listener::accepting() const {
-    return state_->acceptor.is_open() && state_->failures == 0 &&
-           state_->connections < state_->options.max_connections;
+    return state_->accept_pending && !state_->closed;
 }
 
 void listener::close() {
