Control: every call to an upstream gets a result

A call whose answer could not be evaluated had no result, and its key range would not be renewed nor moved by this leader. It now ends as unanswered.

--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -80,6 +80,7 @@
 private:
     using on_call_result = std::function<void(key_ranges::call_result, std::string handover)>;
     void send_call(const key_ranges::call& call, on_call_result done);
+    void report_call(const on_call_result& done, key_ranges::call_result result, std::string handover);
     /// Answers 500 if it fails, unless it has been answered.
     void serve_order(app::http_request received, app::http_reply reply);
 
@@ -145,8 +146,7 @@
             request.bytes = protocol_.write_call(call);
         } catch (const std::exception&) {
             // Without a result the lease manager would wait for this call for ever.
-            asio::post(control_.io,
-                       [done = std::move(done)] { done(key_ranges::call_result::not_sent, {}); });
+            report_call(done, key_ranges::call_result::not_sent, {});
             throw;
         }
         request.timeout = call.kind == key_ranges::call_kind::grant ? grant_timeout : release_timeout;
@@ -154,7 +154,16 @@
         // while requests run on them.
         request.new_connection = call.new_connection || call.kind == key_ranges::call_kind::release;
         client_.send(std::move(request), [this, call, done = std::move(done)](const exchange_result& it) {
-            const auto result = to_call_result(it, protocol_);
+            auto result = key_ranges::call_result::unanswered;
+            std::string handover;
+            try {
+                result = to_call_result(it, protocol_);
+                handover = protocol_.read_handover(it.answer);
+            } catch (const std::exception&) {
+                report_call(done, key_ranges::call_result::unanswered, {});
+                throw;
+            }
+            report_call(done, result, std::move(handover));
             // Grants and releases are called orders in the names of the metric and the log event.
             registry_
                 .counter_of("orders_total", "orders to upstreams by kind and result",
@@ -166,13 +175,15 @@
                              call.kind == key_ranges::call_kind::grant ? "grant" : "release", call.target.id,
                              call.first, call.last, call.epoch, to_string(result), it.answer.status);
             }
-            asio::post(control_.io, [done, result, handover = protocol_.read_handover(it.answer)] {
-                done(result, handover);
-            });
         });
     });
 }
 
+void control_process::report_call(const on_call_result& done, key_ranges::call_result result,
+                                  std::string handover) {
+    asio::post(control_.io, [done, result, handover = std::move(handover)] { done(result, handover); });
+}
+
 void control_process::run() {
     spdlog::info("control instance started name={} data_center={}", settings_.name, settings_.data_center);
     signals_.async_wait([this](const asio::error_code& ec, int) {
