Processes: stop the other threads before their objects are destroyed

An exception that leaves the control thread of an entry, or a second thread that cannot be started in `serve`, destroyed objects that a thread was using. Found by an independent review; no test.

--- a/src/app/instance/instance.cpp
+++ b/src/app/instance/instance.cpp
@@ -93,10 +93,10 @@
     spdlog::info("started instance={} data_center={} incarnation={}", settings_.name, settings_.data_center,
                  incarnation_);
     reload_signals_.async_wait([this](const asio::error_code& ec, int) { on_reload(ec); });
-    gate_worker_.start();
-    entry_worker_.start();
-    lifecycle::accept_signals();
     try {
+        gate_worker_.start();
+        entry_worker_.start();
+        lifecycle::accept_signals();
         control_worker_.run();
     } catch (...) {
         // What the other threads use is destroyed before them.
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -217,7 +217,13 @@
     schedule_report();
     traffic_.start();
     lifecycle::accept_signals();
-    control_.run();
+    try {
+        control_.run();
+    } catch (...) {
+        // What the traffic thread uses is destroyed before the thread.
+        traffic_.stop();
+        throw;
+    }
     traffic_.stop();
 }
 
