--- a/tests/transport/link_test.cpp
+++ b/tests/transport/link_test.cpp
@@ -291,7 +291,7 @@
         peer_link to_peer(context, listen_address, identity("a"), settings, nullptr);
         const bool up = run_until(context, [&] { return to_peer.up(); });
         std::optional<reply> answer;
-        to_peer.request({frame_type::forward_request, 0, "x"}, 10s, [&](const reply& it) { answer = it; });
+        to_peer.request({frame_type::forward_request, 0, "x"}, 2s, [&](const reply& it) { answer = it; });
         context.restart();
         context.run_for(5ms);
         std::this_thread::sleep_for(300ms);
