--- a/tools/soak.py
+++ b/tools/soak.py
@@ -25,7 +25,7 @@
 
 CI_SEED = 41
 CI_SECONDS = 20
-CI_WITHOUT = ("early_hup", "beside", "port", "output", "descriptors", "file_size")  # open faults of issue 41
+CI_WITHOUT = ("early_hup",)  # a signal in the dynamic loader ends the process, see KNOWN-RED.txt
 CONTROLS = 3
 ZONES = ("north", "east", "south")
 PORTS = {"callers": 8161, "readiness": 8167, "control": 8166, "peer": 7720, "metrics": 7735}
