Upstreams: an end after a failed write does not complete an answer

Cause: the system reports a reset once. While an upload is being written the write gets it, and the read that follows sees a plain end of the connection, which completes an answer without a length.

A connection that failed under a write therefore no longer completes an answer by its end. A broken pipe is an exception: Linux reports it only to a connection that the peer had ended before, so the end that the read then sees is the peer's. An upstream that answers early, ends its side and refuses the rest of an upload is still heard.

Answers with a length or in chunks got 502 before, and those that end before the reset got 200; both are tested and stay.

--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -110,6 +110,9 @@
         socket_, parts,
         [it = shared_from_this(), body = request_.body](const asio::error_code& ec, std::size_t) {
             it->writing_ = false;
+            // The system reports a reset once: the read then sees a plain end. A broken pipe means that the
+            // peer had ended its answer before.
+            it->write_failed_ = ec && ec != asio::error::broken_pipe;
             // The read fails too, unless an early answer arrives.
             if (ec && !it->closed_ && !it->reading_) {
                 it->finish(exchange_end::broken);
@@ -142,7 +145,7 @@
         return;
     }
     if (ec) {
-        const bool ended = ec == asio::error::eof && parser_.started() &&
+        const bool ended = ec == asio::error::eof && !write_failed_ && parser_.started() &&
                            parser_.finish() == answer_parser::status::complete &&
                            owner_of_answer() == answer_owner::this_request;
         if (ended) {
--- a/src/router/upstream_connection.h
+++ b/src/router/upstream_connection.h
@@ -60,7 +60,8 @@
     time_point idle_until_;
     bool open_ = false; ///< connected and usable
     bool writing_ = false;
-    bool sent_ = false; ///< part of the current request may have been sent
+    bool write_failed_ = false; ///< by a failure of the connection, not because the peer had ended it
+    bool sent_ = false;         ///< part of the current request may have been sent
     bool reading_ = false;
     bool reused_ = false;       ///< carried an earlier exchange
     bool stale_answer_ = false; ///< an answer to another request arrived, so the connection is not reused
--- a/tests/app/http_client_test.cpp
+++ b/tests/app/http_client_test.cpp
@@ -256,6 +256,29 @@
     }
 }
 
+// Guards against a part of an answer that is taken for the whole, since the failure of the write hides the
+// reset.
+TEST_CASE_FIXTURE(fixture, "an answer that a reset cuts off during an upload is incomplete") {
+    std::string text;
+    SUBCASE("without a length") {
+        text = "HTTP/1.1 200 OK\r\n\r\npart";
+    }
+    SUBCASE("with a length") {
+        text = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\npart";
+    }
+    SUBCASE("in chunks") {
+        text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    }
+    raw_server server(context, [&](const auto& it, int) {
+        it->read_head([&text, it](const std::string&) {
+            it->write(text);
+            it->reset();
+        });
+    });
+    const auto result = send_and_wait(call_to(server.url(), std::string(8'000'000, 'x')));
+    CHECK(result.failure != http_failure::none);
+}
+
 // Guards against a new connection for each call, and against requests that libcurl sends again by itself when
 // a reused connection closes although the peer may have run them.
 TEST_CASE_FIXTURE(fixture, "a request on a pooled connection is sent at most once") {
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -1,7 +1,9 @@
 #include "platform/entry_processes.h"
 
+#include <csignal>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace kingcupseam::platform::test {
 
@@ -106,4 +108,92 @@
     CHECK(it.control_log().find("result=refused") == std::string::npos);
 }
 
+// Guards against a part of an answer that a caller takes for the whole (issue 45). While an upload is being
+// sent, the failure of the write may hide the reset from the read.
+TEST_CASE("an answer that a reset cuts off during an upload reaches no caller") {
+    constexpr std::size_t upload_bytes = 8'000'000;
+    const std::string upload(upload_bytes, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n";
+    std::vector<std::string> pieces;
+    bool reset = true;
+    bool complete = false;
+    SUBCASE("without a length") {
+        pieces = {head + "\r\npart"};
+    }
+    SUBCASE("without a length, in pieces") {
+        pieces = {head, "\r\n", "pa", "rt"};
+    }
+    SUBCASE("without a length, closed before the upload is read") {
+        pieces = {head + "\r\npart"};
+        reset = false;
+    }
+    SUBCASE("with a length") {
+        pieces = {head + "Content-Length: 8\r\n\r\npart"};
+    }
+    SUBCASE("in chunks") {
+        pieces = {head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"};
+    }
+    SUBCASE("but one that is complete by its length is passed on") {
+        pieces = {head + "Content-Length: 4\r\n\r\npart"};
+        complete = true;
+    }
+    SUBCASE("but one that is complete by its chunks is passed on") {
+        pieces = {head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"};
+        complete = true;
+    }
+    for (const int delay_ms : {0, 1, 20, 100}) {
+        CAPTURE(delay_ms);
+        int uploads = 0;
+        entry_processes* processes = nullptr;
+        entry_processes it([&](const connection_ptr& peer, int) {
+            peer->read_head([&, peer](const std::string&) {
+                ++uploads;
+                duration at{0};
+                for (const auto& piece : pieces) {
+                    processes->run_after(at, [peer, piece] { peer->write(piece); });
+                    at += milliseconds(2);
+                }
+                processes->run_after(at + milliseconds(delay_ms),
+                                     [peer, reset] { reset ? peer->reset() : peer->close(); });
+            });
+        });
+        processes = &it;
+        const auto request = it.start_request("/unsafe/1", milliseconds(2000), 0, upload);
+        CHECK(it.status_of(request) == (complete ? 200 : 502));
+        CHECK(uploads == 1);
+    }
+}
+
+TEST_CASE("an answer that ends with its connection during an upload reaches the caller whole") {
+    const std::string upload(8'000'000, 'x');
+    entry_processes* processes = nullptr;
+    bool reset = false;
+    bool unread = false;
+    SUBCASE("whose rest is discarded") {}
+    SUBCASE("whose rest is answered with a reset") {
+        reset = true;
+    }
+    SUBCASE("whose rest is answered with a reset, before the entry has read the answer") {
+        reset = true;
+        unread = true;
+    }
+    entry_processes it([&](const connection_ptr& peer, int) {
+        peer->read_head([&, peer](const std::string&) {
+            processes->entry().signal(unread ? SIGSTOP : SIGCONT);
+            processes->run_after(milliseconds(50), [&, peer] {
+                peer->write("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\nwhole");
+                peer->end_answers();
+                if (reset) {
+                    peer->reset();
+                }
+            });
+            processes->run_after(milliseconds(100), [&] { processes->entry().signal(SIGCONT); });
+        });
+    });
+    processes = &it;
+    const auto request = it.start_request("/unsafe/1", milliseconds(2000), 0, upload);
+    CHECK(it.status_of(request) == 200);
+    CHECK(request->result->answer.body == "whole");
+}
+
 } // namespace kingcupseam::platform::test
--- a/tests/router/upstream_client_test.cpp
+++ b/tests/router/upstream_client_test.cpp
@@ -1,5 +1,7 @@
 #include "router/upstream_client.h"
 
+#include "support/raw_server.h"
+
 #include <doctest/doctest.h>
 
 #include <array>
@@ -190,6 +192,41 @@
     }
 }
 
+// Guards against the end of a connection that is taken for the end of an answer although a reset came first:
+// the system reports a reset once, and the write of the request may get it before the read.
+TEST_CASE("an answer without a length is complete only if the upstream ended it") {
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart";
+    bool ended = false;
+    SUBCASE("not when its connection is reset") {}
+    SUBCASE("but when a reset refuses the rest of the request after the end") {
+        ended = true;
+    }
+    asio::io_context context;
+    kingcupseam::test::raw_server upstream(context, [&](const auto& peer, int) {
+        peer->read_head([&, peer](const std::string&) {
+            peer->write(answer);
+            if (ended) {
+                peer->end_answers();
+            }
+            peer->reset();
+        });
+    });
+    upstream_client client(context, {"X-Id"});
+    exchange upload;
+    upload.target = {"127.0.0.1", upstream.port()};
+    upload.bytes = "POST / HTTP/1.1\r\nX-Id: a\r\nContent-Length: 8000000\r\n\r\n";
+    upload.body = std::string(8'000'000, 'x');
+    upload.id = "a";
+    upload.timeout = std::chrono::milliseconds(2000);
+    std::optional<exchange_result> result;
+    client.send(std::move(upload), [&](exchange_result it) { result = std::move(it); });
+    while (!result) {
+        context.run_one();
+    }
+    CHECK(result->end == (ended ? exchange_end::answered : exchange_end::broken));
+    CHECK(result->answer.body == (ended ? "part" : ""));
+}
+
 TEST_CASE("bytes that are not HTTP are malformed") {
     harness it({"\x01\x02 nonsense Length\r\n\r\n"});
     CHECK(it.send(it.request()).end == exchange_end::malformed);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -28,6 +28,16 @@
                                        }
                                    });
         }
+        /// Reads up to the end of a head, which @p handler may answer while the body is still being sent.
+        void read_head(std::function<void(std::string)> handler) {
+            asio::async_read_until(
+                socket, asio::dynamic_buffer(received), "\r\n\r\n",
+                [self = shared_from_this(), handler = std::move(handler)](auto ec, std::size_t n) {
+                    if (!ec) {
+                        handler(self->received.substr(0, n));
+                    }
+                });
+        }
         void write(const std::string& text) {
             asio::error_code ec;
             asio::write(socket, asio::buffer(text), ec);
@@ -42,6 +52,11 @@
             asio::error_code ec;
             socket.close(ec);
         }
+        /// Closes the direction towards the client with FIN; the client can go on sending.
+        void end_answers() {
+            asio::error_code ec;
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+        }
         /// Closes with RST, so the client's next write fails.
         void reset() {
             asio::error_code ec;
