HTTP client: a new libcurl handle for each call

An upstream could end the processes that read answers with libcurl (serve, load, stand-ins): signal 11 or 6 on an answer whose head begins with a blank.

Cause: libcurl 7.88 keeps a pointer to the last header of a handle. curl_easy_reset frees the headers and keeps the pointer, and the next answer on this handle that begins with a folded line follows it. http_client kept up to 256 handles for later calls.

Each call now has a handle of its own; without an earlier header libcurl refuses such an answer. Connections belong to the multi handle and are reused as before.

Evidence: the test of this commit ends by signal 11 on the former commit, and passes with the change.

Looked at as well: the operators' commands, which take a new handle for each attempt.

--- a/src/app/http_client.cpp
+++ b/src/app/http_client.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr std::size_t max_spare_handles = 256;
 // By default libcurl closes idle connections beyond 4 per running call.
 constexpr long max_idle_connections = 4096;
 
@@ -96,7 +95,6 @@
     std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> sockets;
     std::unordered_map<std::uint64_t, active_call> calls;
     std::map<std::string, host_calls> hosts;
-    std::vector<curl_easy_ptr> spare_handles;
     std::uint64_t last_id = 0;
     bool stopped = false;
 };
@@ -240,15 +238,10 @@
     if (!call.transfer->call().fresh_connection) {
         ++hosts[call.transfer->host()].running;
     }
-    curl_easy_ptr handle;
-    if (spare_handles.empty()) {
-        handle.reset(curl_easy_init());
-    } else {
-        handle = std::move(spare_handles.back());
-        spare_handles.pop_back();
-    }
     call.running = true;
-    call.transfer->prepare(std::move(handle), *this);
+    // Not one that was used before: libcurl keeps a pointer to its last header, which is no longer there, and
+    // follows it when the next answer begins with a folded line.
+    call.transfer->prepare(curl_easy_ptr(curl_easy_init()), *this);
     curl_multi_add_handle(multi.get(), call.transfer->handle());
 }
 
@@ -282,10 +275,6 @@
     if (call.running) {
         curl_multi_remove_handle(multi.get(), call.transfer->handle());
         entry.running -= call.transfer->call().fresh_connection ? 0 : 1;
-        curl_easy_reset(call.transfer->handle());
-        if (spare_handles.size() < max_spare_handles) {
-            spare_handles.push_back(call.transfer->release_handle());
-        }
     } else {
         std::erase(entry.queued, id);
     }
--- a/src/app/http_transfer.h
+++ b/src/app/http_transfer.h
@@ -51,7 +51,6 @@
     const http_call& call() const noexcept { return call_; }
     const std::string& host() const noexcept { return host_; }
     CURL* handle() const noexcept { return handle_.get(); }
-    curl_easy_ptr release_handle() noexcept { return std::move(handle_); }
     std::function<void(http_result)> release_callback() noexcept { return std::move(done_); }
 
 private:
--- a/tests/app/http_client_test.cpp
+++ b/tests/app/http_client_test.cpp
@@ -256,6 +256,23 @@
     }
 }
 
+// Guards against the end of the process: libcurl 7.88 follows a stale pointer when a handle that has read an
+// answer reads one whose head begins with a blank.
+TEST_CASE_FIXTURE(fixture, "an answer whose head begins with a blank does no harm after other answers") {
+    raw_server server(context, [](const auto& it, int number) {
+        it->read_request([it, number](const std::string&) {
+            const std::string blank = number % 2 == 0 ? " " : "";
+            it->write("HTTP/1.1 200 OK\r\n" + blank + "X-Name: v\r\nContent-Length: 2\r\n\r\nok");
+            it->close();
+        });
+    });
+    for (int n = 1; n <= 4; ++n) {
+        CAPTURE(n);
+        const auto result = send_and_wait(call_to(server.url()));
+        CHECK((result.failure == http_failure::none) == (n % 2 == 1));
+    }
+}
+
 // Guards against a part of an answer that is taken for the whole, since the failure of the write hides the
 // reset.
 TEST_CASE_FIXTURE(fixture, "an answer that a reset cuts off during an upload is incomplete") {
