Answers: names of fields must be tokens

Cause: http_parser, as Debian builds it, takes a blank for part of a name; libcurl passes on any name, and http_transfer trimmed it.

answer_parser now checks each piece of a name, in the head and in trailers, and http_transfer each line, with app::is_token. Lines without a colon, and lines of blanks that counted as the end of a head, are malformed too.

Entries refused control bytes, tabs and bytes above 127 before; this is tested and unchanged.

--- a/src/app/answer_syntax.cpp
+++ b/src/app/answer_syntax.cpp
@@ -10,6 +10,10 @@
     return c >= '0' && c <= '9';
 }
 
+bool is_letter(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+}
+
 } // namespace
 
 bool is_status_line(std::string_view line) {
@@ -25,4 +29,11 @@
            separators.find(line[status_line_prefix_bytes - 1]) != std::string_view::npos;
 }
 
+bool is_token(std::string_view text) {
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+        return is_letter(c) || is_digit(c) || marks.find(c) != std::string_view::npos;
+    });
+}
+
 } // namespace kingcupseam::app
--- a/src/app/answer_syntax.h
+++ b/src/app/answer_syntax.h
@@ -13,5 +13,7 @@
 /// True if the line begins with a version 1.x and a status of three digits from 100 to 599. What follows the
 /// first status_line_prefix_bytes has no effect.
 bool is_status_line(std::string_view line);
+/// True for a token, as which the name of a field must be written: no blanks, control bytes or separators.
+bool is_token(std::string_view text);
 
 } // namespace kingcupseam::app
--- a/src/app/http_transfer.cpp
+++ b/src/app/http_transfer.cpp
@@ -204,12 +204,15 @@
         length_known_ = false;
         return is_status_line(line);
     }
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos) {
-        headers_complete_ = trimmed(line).empty();
+    if (line == "\r\n" || line == "\n") {
+        headers_complete_ = true;
         return true;
     }
-    auto name = lower_case(trimmed(line.substr(0, colon)));
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) {
+        return false;
+    }
+    auto name = lower_case(std::string(line.substr(0, colon)));
     auto value = trimmed(line.substr(colon + 1));
     if (headers_complete_) { // a trailer of a chunked body
         return true;
--- a/src/router/answer_parser.cpp
+++ b/src/router/answer_parser.cpp
@@ -73,6 +73,9 @@
 
 int answer_parser::on_field(http_parser* parser, const char* at, std::size_t n) {
     auto& it = parser_of(parser);
+    if (n > 0 && !app::is_token({at, n})) { // the library accepts blanks
+        return 1;
+    }
     if (it.in_value_ || it.answer_.headers.empty()) {
         if (it.answer_.headers.size() == max_headers) {
             return 1;
--- a/tests/app/answer_syntax_test.cpp
+++ b/tests/app/answer_syntax_test.cpp
@@ -38,4 +38,17 @@
     }
 }
 
+TEST_CASE("a token has no blanks, control bytes or separators") {
+    CHECK(is_token("X-Name"));
+    CHECK(is_token("!#$%&'*+-.^_`|~09azAZ"));
+    CHECK_FALSE(is_token(""));
+    for (int c = 0; c < 256; ++c) {
+        CAPTURE(c);
+        const std::string_view separators = "\"(),/:;<=>?@[\\]{}";
+        const bool refused =
+            c <= ' ' || c >= 0x7f || separators.find(static_cast<char>(c)) != std::string::npos;
+        CHECK(is_token(std::string("X") + static_cast<char>(c)) == !refused);
+    }
+}
+
 } // namespace kingcupseam::app
--- a/tests/app/http_client_test.cpp
+++ b/tests/app/http_client_test.cpp
@@ -254,6 +254,33 @@
             CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
         }
     }
+    SUBCASE("the name of a field is no token") {
+        for (const std::string field : {"X Name: v", " X-Name: v", "\tX-Name: v", "X-Name : v", " : v",
+                                        "Content-Length : 2", "X-\x01Name: v", "X-\x7fName: v", "X\tName: v",
+                                        "X-Name\t: v", "X-N\xc3\xa4me: v", ": v", "X-Name", " "}) {
+            CAPTURE(field);
+            text = "HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok";
+            CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
+            text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + field + "\r\n\r\nok";
+            CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
+        }
+    }
+    SUBCASE("the name of a field hides how the body is framed") {
+        for (const std::string field :
+             {"Transfer -Encoding: chunked", "Transfer-Encoding : chunked", " Transfer-Encoding: chunked"}) {
+            CAPTURE(field);
+            text = "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+            CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
+        }
+    }
+    SUBCASE("the name of a trailer is no token") {
+        for (const std::string field : {"X Name: v", " X-Name: v", "X-Name : v"}) {
+            CAPTURE(field);
+            text =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + field + "\r\n\r\n";
+            CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
+        }
+    }
 }
 
 // Guards against the end of the process: libcurl 7.88 follows a stale pointer when a handle that has read an
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -103,11 +103,56 @@
     SUBCASE("a status of 000 is no refusal") {
         upstream.answer_to_grant = "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n";
     }
+    SUBCASE("a status of 200 above a malformed field is no consent") {
+        upstream.answer_to_grant = "HTTP/1.1 200 OK\r\nX Name: v\r\nContent-Length: 0\r\n\r\n";
+    }
     entry_processes it([&](const connection_ptr& peer, int) { upstream(peer); }, 1, true);
     CHECK(it.run_until([&] { return it.control_log().find("result=unanswered") != std::string::npos; }));
     CHECK(it.control_log().find("result=refused") == std::string::npos);
 }
 
+// Guards against fields that the libraries of callers refuse, and against a framing that hides in one (issue
+// 45).
+TEST_CASE("an answer with a malformed field name reaches no caller") {
+    answering_upstream upstream;
+    entry_processes it([&](const connection_ptr& peer, int) { upstream(peer); });
+    answer_text broken;
+    const auto check = [&] { check_that_callers_get_502(it, upstream, 1, broken); };
+    const std::string length = broken.fields;
+    SUBCASE("in the head, beside a length") {
+        for (const std::string field :
+             {"X Name: v", " X-Name: v", "X-Name : v", " : v", "Content-Length : 4", "X-\x01Name: v",
+              "X-\x7fName: v", "X\tName: v", "X-Name\t: v", "X-N\xc3\xa4me: v", ": v", "X-Name"}) {
+            CAPTURE(field);
+            const std::string line = field + "\r\n";
+            broken.fields = line + length;
+            check();
+            broken.fields = length + line;
+            check();
+        }
+        broken.fields = length + std::string("X-\0Name: v\r\n", 12);
+        check();
+    }
+    SUBCASE("which hides how the body is framed") {
+        broken.close = true;
+        broken.body = "4\r\nbody\r\n0\r\n\r\n";
+        for (const std::string field :
+             {"Transfer -Encoding: chunked", "Transfer-Encoding : chunked", " Transfer-Encoding: chunked"}) {
+            CAPTURE(field);
+            broken.fields = field + "\r\n";
+            check();
+        }
+    }
+    SUBCASE("in a trailer") {
+        broken.fields = "Transfer-Encoding: chunked\r\n";
+        for (const std::string field : {"X Name: v", " X-Name: v", "X-Name : v", "X-\x01Name: v"}) {
+            CAPTURE(field);
+            broken.body = "4\r\nbody\r\n0\r\n" + field + "\r\n\r\n";
+            check();
+        }
+    }
+}
+
 // Guards against a part of an answer that a caller takes for the whole (issue 45). While an upload is being
 // sent, the failure of the write may hide the reset from the read.
 TEST_CASE("an answer that a reset cuts off during an upload reaches no caller") {
--- a/tests/router/answer_parser_test.cpp
+++ b/tests/router/answer_parser_test.cpp
@@ -13,6 +13,10 @@
 
 const std::string length_and_body = "Content-Length: 2\r\n\r\nok";
 
+std::string with_line(const std::string& line, const std::string& end = "\r\n") {
+    return "HTTP/1.1 200 OK" + end + line + end + length_and_body;
+}
+
 /// Result of the answer, which arrives in pieces of @p size bytes.
 status parse(answer_parser& parser, std::string_view bytes, std::size_t size) {
     status result = status::incomplete;
@@ -60,6 +64,16 @@
             CHECK(parse(line + length_and_body) == status::malformed);
         }
     }
+    SUBCASE("a field name of token characters is accepted") {
+        CHECK(parse(with_line("!#$%&'*+-.^_`|~09azAZ: v")) == status::complete);
+    }
+    SUBCASE("another field name is malformed") {
+        for (const std::string field :
+             {"X Name: v", " X-Name: v", "X-Name : v", " : v", "X-\x01Name: v", "X-N\xc3\xa4me: v", ": v"}) {
+            CAPTURE(field);
+            CHECK(parse(with_line(field)) == status::malformed);
+        }
+    }
 }
 
 // Guards against a check that looks at the first answer of a connection alone.
