Answers: a head with folded lines is malformed

Callers got answers with a value that the upstream had not sent, also in X-Response-Signature.

Cause: http_parser joins a folded line with the value before it, without the blank that RFC 9112 section 5.2 asks for.

That section lets a proxy replace such an answer by a 502. answer_parser now looks for lines that begin with a blank until the head ends, as the library's callbacks do not tell them from a value that arrives in pieces. http_transfer refuses them since it checks names.

--- a/src/router/answer_parser.cpp
+++ b/src/router/answer_parser.cpp
@@ -35,6 +35,9 @@
     parser_.data = this;
     answer_ = {};
     status_line_.clear();
+    last_of_head_ = 0;
+    head_ended_ = false;
+    folded_ = false;
     in_value_ = false;
     started_ = false;
     complete_ = false;
@@ -48,6 +51,7 @@
         head.remove_prefix(std::min(head.find_first_not_of("\r\n"), head.size()));
     }
     keep_status_line(head);
+    find_folded_line(head);
     used = http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
     if (complete_) {
         return status::complete;
@@ -66,6 +70,16 @@
     status_line_.append(bytes.substr(0, app::status_line_prefix_bytes - status_line_.size()));
 }
 
+void answer_parser::find_folded_line(std::string_view bytes) {
+    for (auto it = bytes.begin(); it != bytes.end() && !head_ended_; ++it) {
+        if (last_of_head_ == '\n') {
+            folded_ = folded_ || *it == ' ' || *it == '\t';
+            head_ended_ = *it == '\r' || *it == '\n';
+        }
+        last_of_head_ = *it;
+    }
+}
+
 int answer_parser::on_begin(http_parser* parser) {
     parser_of(parser).started_ = true;
     return 0;
@@ -99,7 +113,7 @@
     it.answer_.status = static_cast<int>(parser->status_code);
     it.keep_alive_ = http_should_keep_alive(parser) != 0;
     constexpr int stop = -1; // 1 and 2 have other meanings for the library
-    if (!app::is_status_line(it.status_line_)) {
+    if (!app::is_status_line(it.status_line_) || it.folded_) {
         return stop;
     }
     constexpr std::uint64_t no_length = std::numeric_limits<std::uint64_t>::max();
--- a/src/router/answer_parser.h
+++ b/src/router/answer_parser.h
@@ -33,6 +33,8 @@
 private:
     /// Keeps the beginning of the status line, of which the library passes on nothing but numbers.
     void keep_status_line(std::string_view bytes);
+    /// Looks for folded lines in the head, which the library joins with the value of the field before.
+    void find_folded_line(std::string_view bytes);
 
     static int on_begin(http_parser* parser);
     static int on_field(http_parser* parser, const char* at, std::size_t n);
@@ -46,6 +48,9 @@
     http_parser_settings callbacks_{};
     app::http_response answer_;
     std::string status_line_; ///< its first bytes
+    char last_of_head_ = 0;   ///< last byte of the head so far
+    bool head_ended_ = false;
+    bool folded_ = false;
     bool in_value_ = false;
     bool started_ = false;
     bool complete_ = false;
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -153,6 +153,19 @@
     }
 }
 
+// Guards against a value that reaches the caller with the line that follows it in one word, as a signature
+// that is not the upstream's.
+TEST_CASE("an answer with a folded line in its head reaches no caller") {
+    answering_upstream upstream;
+    entry_processes it([&](const connection_ptr& peer, int) { upstream(peer); });
+    answer_text broken;
+    for (const std::string folded : {" more", "\tmore", " X-Name: v", " "}) {
+        CAPTURE(folded);
+        broken.fields = "X-Response-Signature: s\r\n" + folded + "\r\nContent-Length: 4\r\n";
+        check_that_callers_get_502(it, upstream, 1, broken);
+    }
+}
+
 // Guards against a part of an answer that a caller takes for the whole (issue 45). While an upload is being
 // sent, the failure of the write may hide the reset from the read.
 TEST_CASE("an answer that a reset cuts off during an upload reaches no caller") {
--- a/tests/router/answer_parser_test.cpp
+++ b/tests/router/answer_parser_test.cpp
@@ -74,6 +74,17 @@
             CHECK(parse(with_line(field)) == status::malformed);
         }
     }
+    SUBCASE("a folded line is malformed") {
+        for (const std::string folded : {" more", "\tmore", " X-Name: v", " "}) {
+            CAPTURE(folded);
+            CHECK(parse(with_line("X-Name: v\r\n" + folded)) == status::malformed);
+            CHECK(parse(with_line("X-Name: v\n" + folded, "\n")) == status::malformed);
+        }
+    }
+    SUBCASE("a line of the body that begins with a blank is accepted") {
+        CHECK(parse("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\na\r\n b\n") == status::complete);
+        CHECK(parse("HTTP/1.1 200 OK\nContent-Length: 6\n\na\r\n b\n") == status::complete);
+    }
 }
 
 // Guards against a check that looks at the first answer of a connection alone.
