Answers: chunked, once, is the only transfer coding

Cause: both libraries take an unknown coding for a body without a length, or undo one of two codings; Transfer-Encoding concerns one connection and is not passed on, so the caller cannot undo the rest. http_transfer took any Transfer-Encoding for a known length.

An answer may now have one Transfer-Encoding, and it must be chunked. Nothing else was offered to the upstream (RFC 9110 section 10.1.4). answer_parser asks the library too, whether it reads chunks.

--- a/src/app/answer_syntax.cpp
+++ b/src/app/answer_syntax.cpp
@@ -1,5 +1,7 @@
 #include "app/answer_syntax.h"
 
+#include "app/http_server.h"
+
 #include <algorithm>
 
 namespace kingcupseam::app {
@@ -14,6 +16,12 @@
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
 }
 
+std::string_view trimmed(std::string_view text) {
+    constexpr std::string_view blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    return text.substr(0, text.find_last_not_of(blanks) + 1);
+}
+
 } // namespace
 
 bool is_status_line(std::string_view line) {
@@ -36,4 +44,8 @@
     });
 }
 
+bool is_chunked_coding(std::string_view value) {
+    return equal_ignoring_case(trimmed(value), "chunked");
+}
+
 } // namespace kingcupseam::app
--- a/src/app/http_transfer.cpp
+++ b/src/app/http_transfer.cpp
@@ -217,9 +217,17 @@
     if (headers_complete_) { // a trailer of a chunked body
         return true;
     }
-    length_known_ = length_known_ || name == "content-length" || name == "transfer-encoding";
+    const bool unambiguous = on_framing_field(name, value);
     answer_.headers.emplace_back(std::move(name), std::move(value));
-    return true;
+    return unambiguous;
+}
+
+bool http_transfer::on_framing_field(const std::string& name, const std::string& value) {
+    if (name == "content-length") {
+        length_known_ = true;
+        return true;
+    }
+    return name != "transfer-encoding" || (!std::exchange(length_known_, true) && is_chunked_coding(value));
 }
 
 std::size_t http_transfer::on_header(char* data, std::size_t size, std::size_t count, void* self) {
--- a/src/router/answer_parser.cpp
+++ b/src/router/answer_parser.cpp
@@ -17,6 +17,18 @@
     return *static_cast<answer_parser*>(parser->data);
 }
 
+/// The library takes a body in any other coding for one without a length, and one that is in chunks twice for
+/// one that is in chunks once.
+bool is_coding_known(const http_parser& parser, const app::header_list& headers) {
+    const auto is_coding = [](const auto& it) {
+        return app::equal_ignoring_case(it.first, "Transfer-Encoding");
+    };
+    const auto first = std::find_if(headers.begin(), headers.end(), is_coding);
+    return first == headers.end() ||
+           ((parser.flags & F_CHUNKED) != 0 && app::is_chunked_coding(first->second) &&
+            std::none_of(first + 1, headers.end(), is_coding));
+}
+
 } // namespace
 
 answer_parser::answer_parser(std::size_t max_body_bytes) : max_body_bytes_(max_body_bytes) {
@@ -113,7 +125,8 @@
     it.answer_.status = static_cast<int>(parser->status_code);
     it.keep_alive_ = http_should_keep_alive(parser) != 0;
     constexpr int stop = -1; // 1 and 2 have other meanings for the library
-    if (!app::is_status_line(it.status_line_) || it.folded_) {
+    if (!app::is_status_line(it.status_line_) || it.folded_ ||
+        !is_coding_known(*parser, it.answer_.headers)) {
         return stop;
     }
     constexpr std::uint64_t no_length = std::numeric_limits<std::uint64_t>::max();
--- a/tests/app/answer_syntax_test.cpp
+++ b/tests/app/answer_syntax_test.cpp
@@ -51,4 +51,16 @@
     }
 }
 
+TEST_CASE("the only transfer coding is chunked") {
+    for (const std::string value : {"chunked", "Chunked", " \tchunked\t "}) {
+        CAPTURE(value);
+        CHECK(is_chunked_coding(value));
+    }
+    for (const std::string value :
+         {"", " ", "gzip", "chunked,", "gzip, chunked", "chunked;q=1", "chunk ed"}) {
+        CAPTURE(value);
+        CHECK_FALSE(is_chunked_coding(value));
+    }
+}
+
 } // namespace kingcupseam::app
--- a/tests/app/http_client_test.cpp
+++ b/tests/app/http_client_test.cpp
@@ -281,6 +281,20 @@
             CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
         }
     }
+    SUBCASE("its transfer coding is not chunked") {
+        for (const std::string coding :
+             {"gzip", "x", "identity", "", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked,",
+              "chunked;q=1", "chunkedx", "chunked\r\nTransfer-Encoding: chunked",
+              "chunked\r\nTransfer-Encoding: gzip", "gzip\r\nTransfer-Encoding: chunked"}) {
+            for (const std::string body : {"ok", "2\r\nok\r\n0\r\n\r\n"}) {
+                CAPTURE(coding);
+                CAPTURE(body);
+                text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+                text.append(coding).append("\r\n\r\n").append(body);
+                CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
+            }
+        }
+    }
 }
 
 // Guards against the end of the process: libcurl 7.88 follows a stale pointer when a handle that has read an
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -166,6 +166,27 @@
     }
 }
 
+// Guards against a body that reaches a caller with its framing or its coding, which are not passed on (issue
+// 45).
+TEST_CASE("an answer with a transfer coding other than chunked reaches no caller") {
+    answering_upstream upstream;
+    entry_processes it([&](const connection_ptr& peer, int) { upstream(peer); });
+    answer_text broken;
+    broken.close = true;
+    for (const std::string coding :
+         {"gzip", "x", "identity", "", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked,",
+          "chunked;q=1", "chunkedx", "chunked\r\nTransfer-Encoding: chunked",
+          "chunked\r\nTransfer-Encoding: gzip", "gzip\r\nTransfer-Encoding: chunked"}) {
+        for (const std::string body : {"body", "4\r\nbody\r\n0\r\n\r\n"}) {
+            CAPTURE(coding);
+            CAPTURE(body);
+            broken.fields = "Transfer-Encoding: " + coding + "\r\n";
+            broken.body = body;
+            check_that_callers_get_502(it, upstream, 1, broken);
+        }
+    }
+}
+
 // Guards against a part of an answer that a caller takes for the whole (issue 45). While an upload is being
 // sent, the failure of the write may hide the reset from the read.
 TEST_CASE("an answer that a reset cuts off during an upload reaches no caller") {
--- a/tests/router/answer_parser_test.cpp
+++ b/tests/router/answer_parser_test.cpp
@@ -17,6 +17,10 @@
     return "HTTP/1.1 200 OK" + end + line + end + length_and_body;
 }
 
+std::string in_chunks(const std::string& coding) {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+}
+
 /// Result of the answer, which arrives in pieces of @p size bytes.
 status parse(answer_parser& parser, std::string_view bytes, std::size_t size) {
     status result = status::incomplete;
@@ -85,6 +89,19 @@
         CHECK(parse("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\na\r\n b\n") == status::complete);
         CHECK(parse("HTTP/1.1 200 OK\nContent-Length: 6\n\na\r\n b\n") == status::complete);
     }
+    SUBCASE("the transfer coding chunked is accepted") {
+        for (const std::string coding : {"chunked", " \tCHUNKED "}) {
+            CAPTURE(coding);
+            CHECK(parse(in_chunks(coding)) == status::complete);
+        }
+    }
+    SUBCASE("another transfer coding is malformed") {
+        for (const std::string coding :
+             {"gzip", "gzip, chunked", "chunked, chunked", "chunked\r\nTransfer-Encoding: chunked"}) {
+            CAPTURE(coding);
+            CHECK(parse(in_chunks(coding)) == status::malformed);
+        }
+    }
 }
 
 // Guards against a check that looks at the first answer of a connection alone.
