HTTP client: an answer has one length

serve could take a part of an answer, or more than it, for the whole: two Content-Length fields, a list, a sign, a hexadecimal or too large number.

Cause: libcurl 7.88 uses the last length and what it can read of it, and reads up to the end of the connection when the number is too large, while http_transfer took the length for known.

http_transfer now accepts one framing field, and as a length only digits that fit into 64 bits.

--- a/src/app/answer_syntax.cpp
+++ b/src/app/answer_syntax.cpp
@@ -3,6 +3,8 @@
 #include "app/http_server.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 
 namespace kingcupseam::app {
 
@@ -48,4 +50,11 @@
     return equal_ignoring_case(trimmed(value), "chunked");
 }
 
+bool is_content_length(std::string_view value) {
+    const std::string_view digits = trimmed(value);
+    std::int64_t length = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), length);
+    return ec == std::errc{} && end == digits.data() + digits.size() && is_digit(digits.front());
+}
+
 } // namespace kingcupseam::app
--- a/src/app/answer_syntax.h
+++ b/src/app/answer_syntax.h
@@ -17,5 +17,7 @@
 bool is_token(std::string_view text);
 /// True if the value of a Transfer-Encoding is "chunked" and nothing else. Callers offer no other coding.
 bool is_chunked_coding(std::string_view value);
+/// True if the value of a Content-Length is one number of bytes that a signed 64-bit integer holds.
+bool is_content_length(std::string_view value);
 
 } // namespace kingcupseam::app
--- a/src/app/http_transfer.cpp
+++ b/src/app/http_transfer.cpp
@@ -223,11 +223,12 @@
 }
 
 bool http_transfer::on_framing_field(const std::string& name, const std::string& value) {
-    if (name == "content-length") {
-        length_known_ = true;
+    const bool coding = name == "transfer-encoding";
+    if (!coding && name != "content-length") {
         return true;
     }
-    return name != "transfer-encoding" || (!std::exchange(length_known_, true) && is_chunked_coding(value));
+    const bool first = !std::exchange(length_known_, true);
+    return first && (coding ? is_chunked_coding(value) : is_content_length(value));
 }
 
 std::size_t http_transfer::on_header(char* data, std::size_t size, std::size_t count, void* self) {
--- a/src/app/http_transfer.h
+++ b/src/app/http_transfer.h
@@ -64,7 +64,7 @@
     http_failure failure_after_sending(CURLcode code) const;
     /// @returns false if the line is malformed
     bool on_header_line(std::string_view line);
-    /// @returns false if the transfer coding is not chunked, or given twice
+    /// @returns false if the field makes the length of the body ambiguous
     bool on_framing_field(const std::string& name, const std::string& value);
 
     static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self);
--- a/tests/app/answer_syntax_test.cpp
+++ b/tests/app/answer_syntax_test.cpp
@@ -63,4 +63,16 @@
     }
 }
 
+TEST_CASE("a length is one number that fits") {
+    for (const std::string value : {"0", "12", " 12\t", "007", "9223372036854775807"}) {
+        CAPTURE(value);
+        CHECK(is_content_length(value));
+    }
+    for (const std::string value :
+         {"", " ", "+1", "-1", "-0", "0x1", "1a", "1 2", "1, 1", "9223372036854775808"}) {
+        CAPTURE(value);
+        CHECK_FALSE(is_content_length(value));
+    }
+}
+
 } // namespace kingcupseam::app
--- a/tests/app/http_client_test.cpp
+++ b/tests/app/http_client_test.cpp
@@ -295,6 +295,18 @@
             }
         }
     }
+    SUBCASE("its length is ambiguous") {
+        for (const std::string fields :
+             {"Content-Length: 2\r\nContent-Length: 1\r\n", "Content-Length: 1\r\nContent-Length: 2\r\n",
+              "Content-Length: 2, 2\r\n", "Content-Length: +2\r\n", "Content-Length: -2\r\n",
+              "Content-Length: 0x2\r\n", "Content-Length: \r\n", "Content-Length: 18446744073709551618\r\n",
+              "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+              "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n"}) {
+            CAPTURE(fields);
+            text = "HTTP/1.1 200 OK\r\n" + fields + "\r\nok";
+            CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
+        }
+    }
 }
 
 // Guards against the end of the process: libcurl 7.88 follows a stale pointer when a handle that has read an
