HTTP client: values of fields have no control bytes

serve accepted answers with control bytes or a lone CR in the value of a field, and passes the Content-Type on to the caller.

Cause: libcurl ends a line at LF alone and refuses only NUL. http_transfer now checks values as well, also in trailers.

--- a/src/app/answer_syntax.cpp
+++ b/src/app/answer_syntax.cpp
@@ -46,6 +46,13 @@
     });
 }
 
+bool is_field_value(std::string_view text) {
+    constexpr char delete_byte = 0x7f;
+    return std::none_of(text.begin(), text.end(), [](char c) {
+        return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == delete_byte;
+    });
+}
+
 bool is_chunked_coding(std::string_view value) {
     return equal_ignoring_case(trimmed(value), "chunked");
 }
--- a/src/app/answer_syntax.h
+++ b/src/app/answer_syntax.h
@@ -15,6 +15,8 @@
 bool is_status_line(std::string_view line);
 /// True for a token, as which the name of a field must be written: no blanks, control bytes or separators.
 bool is_token(std::string_view text);
+/// True if the text has no control byte but tabs.
+bool is_field_value(std::string_view text);
 /// True if the value of a Transfer-Encoding is "chunked" and nothing else. Callers offer no other coding.
 bool is_chunked_coding(std::string_view value);
 /// True if the value of a Content-Length is one number of bytes that a signed 64-bit integer holds.
--- a/src/app/http_transfer.cpp
+++ b/src/app/http_transfer.cpp
@@ -214,6 +214,9 @@
     }
     auto name = lower_case(std::string(line.substr(0, colon)));
     auto value = trimmed(line.substr(colon + 1));
+    if (!is_field_value(value)) {
+        return false;
+    }
     if (headers_complete_) { // a trailer of a chunked body
         return true;
     }
--- a/tests/app/answer_syntax_test.cpp
+++ b/tests/app/answer_syntax_test.cpp
@@ -51,6 +51,15 @@
     }
 }
 
+TEST_CASE("the value of a field has no control bytes but tabs") {
+    for (int c = 0; c < 256; ++c) {
+        CAPTURE(c);
+        const bool refused = (c < ' ' && c != '\t') || c == 0x7f;
+        CHECK(is_field_value(std::string("a") + static_cast<char>(c) + "b") == !refused);
+    }
+    CHECK(is_field_value(""));
+}
+
 TEST_CASE("the only transfer coding is chunked") {
     for (const std::string value : {"chunked", "Chunked", " \tchunked\t "}) {
         CAPTURE(value);
--- a/tests/app/http_client_test.cpp
+++ b/tests/app/http_client_test.cpp
@@ -281,6 +281,16 @@
             CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
         }
     }
+    SUBCASE("the value of a field has a control byte") {
+        for (const std::string& value : {std::string("a\0b", 3),
+                                         std::string("a\x01"
+                                                     "b"),
+                                         std::string("a\rb")}) {
+            CAPTURE(value);
+            text = "HTTP/1.1 200 OK\r\nX-Name: " + value + "\r\nContent-Length: 2\r\n\r\nok";
+            CHECK(send_and_wait(call_to(server.url())).failure != http_failure::none);
+        }
+    }
     SUBCASE("its transfer coding is not chunked") {
         for (const std::string coding :
              {"gzip", "x", "identity", "", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked,",
