Operators' commands: answers are read by the HTTP client

A command could take a part of an answer for the whole: one that ends within its head, or that nothing gives a length. It also accepted a status of 600 and names of fields with a blank.

Cause: the commands used libcurl on their own, which reports success in these cases. They now use http_client, whose checks they lacked; the operator listener always sends a length. An error names the kind of failure instead of libcurl's text.

--- a/src/app/operator_client.cpp
+++ b/src/app/operator_client.cpp
@@ -1,11 +1,12 @@
 #include "app/operator_client.h"
 
-#include <curl/curl.h>
+#include "app/http_client.h"
 
 #include <algorithm>
 #include <cctype>
-#include <memory>
+#include <optional>
 #include <thread>
+#include <utility>
 
 namespace kingcupseam::app {
 
@@ -22,60 +23,46 @@
     std::string problem;
 };
 
-using curl_handle = std::unique_ptr<CURL, void (*)(CURL*)>;
-using curl_header_list = std::unique_ptr<curl_slist, void (*)(curl_slist*)>;
-
-std::size_t append_answer(char* data, std::size_t size, std::size_t count, void* target) {
-    auto& body = *static_cast<std::string*>(target);
-    if (body.size() + size * count > max_answer_bytes) {
-        return 0; // makes libcurl fail the transfer
+const char* problem_of(http_failure failure) {
+    switch (failure) {
+    case http_failure::not_connected:
+    case http_failure::not_sent:
+        return "not connected";
+    case http_failure::timeout:
+        return "no answer in time";
+    case http_failure::cut_off:
+        return "incomplete answer";
+    default:
+        return "connection broken, or malformed answer";
     }
-    body.append(data, size * count);
-    return size * count;
-}
-
-long to_milliseconds(duration value) {
-    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
-void set_request(CURL* curl, const std::string& url, const std::string* body, curl_slist* headers) {
-    curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-    // A proxy from the environment must not see the token.
-    curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
-    if (body != nullptr) {
-        curl_easy_setopt(curl, CURLOPT_POST, 1L);
-        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body->data());
-        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body->size()));
+http_result run_call(http_call call) {
+    asio::io_context context;
+    http_client client(context, {.max_response_bytes = max_answer_bytes});
+    std::optional<http_result> result;
+    client.send(std::move(call), [&](http_result it) { result = std::move(it); });
+    while (!result) {
+        context.run_one();
     }
-}
-
-void set_limits(CURL* curl, duration limit, std::string& received) {
-    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, to_milliseconds(std::min(limit, connect_timeout)));
-    // 0 would mean no limit.
-    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
-                     std::max(1L, to_milliseconds(std::min(limit, attempt_timeout))));
-    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_answer);
-    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &received);
+    return std::move(*result);
 }
 
 attempt try_once(const std::string& url, const std::string& token, const std::string* body, duration limit) {
-    const curl_handle curl(curl_easy_init(), curl_easy_cleanup);
-    const std::string authorization = "Authorization: Bearer " + token;
-    curl_slist* lines = curl_slist_append(nullptr, authorization.c_str());
-    lines = curl_slist_append(lines, "Content-Type: application/toml");
-    lines = curl_slist_append(lines, "Expect:"); // the body is small: save the round trip of 100-continue
-    const curl_header_list headers(lines, curl_slist_free_all);
+    http_call call;
+    call.method = body != nullptr ? "POST" : "GET";
+    call.url = url;
+    call.headers = {{"Authorization", "Bearer " + token}, {"Content-Type", "application/toml"}};
+    call.body = body != nullptr ? *body : std::string();
+    call.timeout = std::min(limit, attempt_timeout);
+    call.connect_timeout = std::min(limit, connect_timeout);
+    http_result received = run_call(std::move(call));
     attempt result;
-    set_request(curl.get(), url, body, headers.get());
-    set_limits(curl.get(), limit, result.answer.body);
-    const CURLcode code = curl_easy_perform(curl.get());
-    if (code != CURLE_OK) {
-        result.problem = curl_easy_strerror(code);
+    if (received.failure != http_failure::none) {
+        result.problem = problem_of(received.failure);
         return result;
     }
-    curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &result.answer.status);
+    result.answer = {received.answer.status, std::move(received.answer.body)};
     if (result.answer.status == 503) {
         result.problem = "answered 503";
         return result;
@@ -87,12 +74,7 @@
 } // namespace
 
 operator_client::operator_client(std::vector<endpoint_address> listeners, std::string token, duration timeout)
-    : listeners_(std::move(listeners)), token_(std::move(token)), timeout_(timeout) {
-    static const CURLcode init_code = curl_global_init(CURL_GLOBAL_DEFAULT);
-    if (init_code != CURLE_OK) {
-        throw operator_unreachable(curl_easy_strerror(init_code));
-    }
-}
+    : listeners_(std::move(listeners)), token_(std::move(token)), timeout_(timeout) {}
 
 operator_answer operator_client::get(const std::string& target) const {
     return send(target, nullptr);
