Tests: broken answers that entries refuse, and sound ones that they pass on

Each form of a sound answer still reaches callers unchanged: with a length, in chunks, ended by its connection, of HTTP/1.0, after interim answers, without a reason.

--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -166,6 +166,18 @@
     }
 }
 
+TEST_CASE("an answer with a control byte in the value of a field reaches no caller") {
+    answering_upstream upstream;
+    entry_processes it([&](const connection_ptr& peer, int) { upstream(peer); });
+    answer_text broken;
+    for (const std::string& value :
+         {std::string("a\0b", 3), std::string("a\x01b"), std::string("a\rb"), std::string("a\x7f") + "b"}) {
+        CAPTURE(value);
+        broken.fields = "X-Name: " + value + "\r\nContent-Length: 4\r\n";
+        check_that_callers_get_502(it, upstream, 1, broken);
+    }
+}
+
 // Guards against a body that reaches a caller with its framing or its coding, which are not passed on (issue
 // 45).
 TEST_CASE("an answer with a transfer coding other than chunked reaches no caller") {
@@ -187,6 +199,80 @@
     }
 }
 
+TEST_CASE("an answer whose length is ambiguous, or that ends before it, reaches no caller") {
+    answering_upstream upstream;
+    entry_processes it([&](const connection_ptr& peer, int) { upstream(peer); });
+    answer_text broken;
+    broken.close = true;
+    SUBCASE("of its length") {
+        for (const std::string fields :
+             {"Content-Length: 4\r\nContent-Length: 3\r\n", "Content-Length: 4\r\nContent-Length: 4\r\n",
+              "Content-Length: 4, 4\r\n", "Content-Length: +4\r\n", "Content-Length: -4\r\n",
+              "Content-Length: 0x4\r\n", "Content-Length: \r\n", "Content-Length: 18446744073709551620\r\n",
+              "Content-Length: 5\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+              "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"}) {
+            CAPTURE(fields);
+            broken.fields = fields;
+            check_that_callers_get_502(it, upstream, 1, broken);
+        }
+    }
+    SUBCASE("in chunks") {
+        broken.fields = "Transfer-Encoding: chunked\r\n";
+        for (const std::string body :
+             {"4\r\nbody\r\n", "5\r\nbody\r\n0\r\n\r\n", "3\r\nbody\r\n0\r\n\r\n", "x\r\nbody\r\n0\r\n\r\n",
+              "-4\r\nbody\r\n0\r\n\r\n", "4\r\nbody\r\n0\r\n"}) {
+            CAPTURE(body);
+            broken.body = body;
+            check_that_callers_get_502(it, upstream, 1, broken);
+        }
+    }
+}
+
+// Guards against checks that refuse what HTTP/1.1 allows.
+TEST_CASE("each form of a sound answer reaches the caller unchanged") {
+    answering_upstream upstream;
+    entry_processes it([&](const connection_ptr& peer, int) { upstream(peer); });
+    answer_text sound;
+    int status = 200;
+    std::string body = "body";
+    SUBCASE("with a length") {}
+    SUBCASE("without a reason") {
+        sound.status_line = "HTTP/1.1 200";
+    }
+    SUBCASE("in chunks") {
+        sound.fields = "transfer-encoding: \tChunked \r\n";
+        sound.body = "1\r\nb\r\n3;x=y\r\nody\r\n0\r\nX-Trailer: v\r\n\r\n";
+    }
+    SUBCASE("ended by its connection") {
+        sound.fields.clear();
+        sound.close = true;
+    }
+    SUBCASE("of HTTP/1.0") {
+        sound.status_line = "HTTP/1.0 200 OK";
+        sound.close = true;
+    }
+    SUBCASE("after interim answers") {
+        sound.status_line = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nLink: a\r\n\r\nHTTP/1.1 200 OK";
+    }
+    SUBCASE("a refusal of the request") {
+        sound.status_line = "HTTP/1.1 404 Not Found";
+        status = 404;
+    }
+    SUBCASE("a failure") {
+        sound.status_line = "HTTP/1.1 599 x";
+        status = 599;
+    }
+    SUBCASE("names of all bytes that a token may have") {
+        sound.fields = "!#$%&'*+-.^_`|~09azAZ: v\r\nContent-Length: 4\r\n";
+    }
+    upstream.answer = sound;
+    for (const char* target : {"/safe/1", "/unsafe/1"}) {
+        const auto request = it.start_request(target);
+        CHECK(it.status_of(request) == status);
+        CHECK(request->result->answer.body == body);
+    }
+}
+
 // Guards against a part of an answer that a caller takes for the whole (issue 45). While an upload is being
 // sent, the failure of the write may hide the reset from the read.
 TEST_CASE("an answer that a reset cuts off during an upload reaches no caller") {
