Entries, leader: log lines and metrics for outdated directories

Nothing told which control instance an entry follows, what it holds, or how long a directory waits for the traffic thread. Entries log their source (directory source) and when requests follow a configuration (configuration serves), and count updates by result. Load reports carry the index that requests follow, and the leader lists entries that lack a change for over a second (entry behind, entries_behind, directory_lag_ms). No decision changes.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -178,6 +178,8 @@
   5: list<UpstreamLimit> limits
   // Upstreams that said in an answer that they are about to stop.
   6: list<LeavingUpstream> leaving
+  // Log index of the directory that the entry holds.
+  7: i64 held_index
 }
 
 // A request of an operator or an upstream that only the leader can serve, forwarded by the control instance that
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -25,8 +25,9 @@
 
 } // namespace
 
-control_links::control_links(asio::io_context& context, const process_settings& settings, observer callbacks)
-    : context_(context), settings_(settings),
+control_links::control_links(asio::io_context& context, const process_settings& settings,
+                             metrics::registry& registry, observer callbacks)
+    : context_(context), settings_(settings), registry_(registry),
       callbacks_(std::move(callbacks)), self_{{to_string(endpoint_address{settings.ip, settings.peer_port}),
                                                new_incarnation()},
                                               settings.data_center},
@@ -128,6 +129,9 @@
 
 void control_links::subscribe(const std::string& name) {
     source_ = name;
+    const control_instance& source = control_instances_.at(name);
+    spdlog::info("directory source name={} leads={} term={} held={}", name, source.leads, source.term,
+                 directory_->index);
     wire::DirectorySubscribe request;
     request.known_index = static_cast<std::int64_t>(directory_->index);
     request.expands = true;
@@ -136,6 +140,7 @@
 
 void control_links::on_update(const std::string& name, const std::string& payload) {
     if (name != source_) {
+        count_update("former");
         return; // from a former subscription
     }
     try {
@@ -153,8 +158,10 @@
                          next->config ? next->config->version : 0, next->index);
         }
         directory_ = std::move(next);
+        count_update("applied");
         callbacks_.on_directory(directory_);
     } catch (const invalid_input& e) {
+        count_update("refused");
         spdlog::warn("directory update refused from={} held={} problem=\"{}\"", name, directory_->index,
                      e.what());
         source_.clear();
@@ -167,6 +174,12 @@
     }
 }
 
+void control_links::count_update(const char* result) {
+    registry_
+        .counter_of("directory_updates_total", "updates of the directory by result", {{"result", result}})
+        .add();
+}
+
 void control_links::leave() {
     leaving_ = true;
     for (const auto& [name, it] : links_) {
@@ -220,6 +233,7 @@
         leaving.upstream_started_ms = it.started_ms;
         out.leaving.push_back(std::move(leaving));
     }
+    out.held_index = static_cast<std::int64_t>(report.directory_index);
     link(source_).notify({frame_type::load_report, 0, encode(out)});
 }
 
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -6,6 +6,7 @@
 #include "router/settings.h"
 
 #include <kingcupseam/directory.h>
+#include <kingcupseam/metrics.h>
 #include <kingcupseam/transport.h>
 
 #include <asio.hpp>
@@ -29,7 +30,8 @@
         std::function<void(std::vector<limit_statement>)> on_limits;
     };
 
-    control_links(asio::io_context& context, const process_settings& settings, observer callbacks);
+    control_links(asio::io_context& context, const process_settings& settings, metrics::registry& registry,
+                  observer callbacks);
 
     void set_seeds(const std::vector<std::string>& ips);
     void send_report(const traffic_report& report);
@@ -54,9 +56,12 @@
     void on_update(const std::string& name, const std::string& payload);
     void choose_source();
     void subscribe(const std::string& name);
+    /// @param result applied, refused, or former for one of a former source
+    void count_update(const char* result);
 
     asio::io_context& context_;
     process_settings settings_;
+    metrics::registry& registry_;
     observer callbacks_;
     transport::peer_identity self_;
     directory::snapshot_ptr directory_ = std::make_shared<const directory::snapshot>();
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -48,9 +48,13 @@
 
 } // namespace
 
-control_node::control_node(asio::io_context& context, process_settings settings, call_sender send_call)
-    : context_(context), settings_(std::move(settings)), send_call_(std::move(send_call)),
-      state_machine_([this] { publisher_.publish(state_machine_.state()); }),
+control_node::control_node(asio::io_context& context, process_settings settings, metrics::registry& registry,
+                           call_sender send_call)
+    : context_(context), settings_(std::move(settings)), registry_(registry),
+      send_call_(std::move(send_call)), state_machine_([this] {
+          publisher_.publish(state_machine_.state());
+          receipts_.on_change(state_machine_.state()->index, steady_now());
+      }),
       publisher_(context, task_times_), tick_timer_(context) {
     open_group();
     const transport::peer_identity identity{self_, settings_.data_center};
@@ -148,7 +152,7 @@
         break;
     }
     case frame_type::load_report:
-        on_load_report(received.payload);
+        on_load_report(from->peer().id.name, received.payload);
         break;
     case frame_type::control_order:
         on_order(from, received);
@@ -239,6 +243,7 @@
         last_announcements_.clear();
         key_loads_.clear();
         limits_.clear();
+        receipts_.clear();
         poison_detector_ = poison_request_detector();
         for (const auto& [id, it] : state_machine_.state()->upstreams) {
             conditions_[id].last_announced = now;
@@ -256,6 +261,7 @@
             it.decay(load_decay_factor);
         }
         poison_detector_.expire(now);
+        check_receipts(now);
         replace_lost_members(now);
         remove_silent_upstreams(now);
     }
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -3,6 +3,7 @@
 #include "app/instance/peer_mesh.h"
 #include "app/instance/replicated_group.h"
 #include "router/directory_publisher.h"
+#include "router/directory_receipts.h"
 #include "router/directory_state_machine.h"
 #include "router/poison_requests.h"
 #include "router/protocol_adapter.h"
@@ -12,6 +13,7 @@
 
 #include <kingcupseam/consensus.h>
 #include <kingcupseam/key_ranges.h>
+#include <kingcupseam/metrics.h>
 #include <kingcupseam/transport.h>
 
 #include <asio.hpp>
@@ -34,7 +36,8 @@
     using call_sender = std::function<void(
         key_ranges::call call, std::function<void(key_ranges::call_result, std::string handover)> done)>;
 
-    control_node(asio::io_context& context, process_settings settings, call_sender send_call);
+    control_node(asio::io_context& context, process_settings settings, metrics::registry& registry,
+                 call_sender send_call);
     ~control_node() override;
 
     void announce(announcement report, on_accepted done) override;
@@ -66,7 +69,9 @@
     void on_frame(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void on_join(const std::shared_ptr<transport::connection>& from, const wire::JoinRequest& request);
     void on_order(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
-    void on_load_report(const std::string& payload);
+    void on_load_report(const std::string& entry, const std::string& payload);
+    /// Logs the entries that begin or cease to serve by an outdated directory.
+    void check_receipts(time_point now);
     /// Upstreams that have told entries that they are about to stop are treated as if they had reported it
     /// here.
     void on_leaving_reports(const wire::LoadReport& report);
@@ -93,10 +98,13 @@
 
     asio::io_context& context_;
     process_settings settings_;
+    metrics::registry& registry_;
     call_sender send_call_;
     task_times task_times_;
     directory_state_machine state_machine_;
     directory_publisher publisher_;
+    directory_receipts receipts_;  ///< of the entries that report to this leader
+    std::set<std::string> behind_; ///< entries that serve by an outdated directory
     asio::steady_timer tick_timer_;
     consensus::member_id self_;
     std::unique_ptr<app::replicated_group> group_;
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -25,18 +25,27 @@
 // that its recovery is noticed.
 constexpr double min_speed = 0.08;
 constexpr double max_speed = 3.0;
+// Entries report what they hold each 300 ms.
+constexpr duration max_directory_lag = std::chrono::seconds(1);
 /// Load that the requests of one second leave in key_loads, in the mean between two decays.
 constexpr double load_per_rate = std::chrono::duration<double>(load_decay_interval).count() *
                                  (1 + load_decay_factor) / 2 / (1 - load_decay_factor);
 
+std::int64_t milliseconds(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 } // namespace
 
-void control_node::on_load_report(const std::string& payload) {
+void control_node::on_load_report(const std::string& entry, const std::string& payload) {
     if (!leading_) {
         return;
     }
     const task_times::scope measured(task_times_, control_task::report);
     const auto report = decode<wire::LoadReport>(payload);
+    if (report.held_index > 0) {
+        receipts_.on_report(entry, static_cast<std::uint64_t>(report.held_index), steady_now());
+    }
     for (const auto& it : report.keys) {
         if (it.key >= 0 && it.key <= static_cast<std::int32_t>(directory::last_key)) {
             key_loads_[it.service_name].add(static_cast<directory::key_number>(it.key), it.requests);
@@ -60,6 +69,35 @@
     }
 }
 
+void control_node::check_receipts(time_point now) {
+    std::set<std::string> behind;
+    duration longest{};
+    for (const auto& it : receipts_.overdue(max_directory_lag, now)) {
+        const auto known = entries_.find(it.entry);
+        const auto peer = known == entries_.end() ? nullptr : known->second.lock();
+        if (!peer || !peer->open()) {
+            receipts_.forget(it.entry); // reports again once it is connected
+            continue;
+        }
+        longest = std::max(longest, it.behind);
+        behind.insert(it.entry);
+        if (!behind_.contains(it.entry)) {
+            spdlog::warn("entry behind name={} held={} index={} behind_ms={}", it.entry, it.held_index,
+                         state_machine_.state()->index, milliseconds(it.behind));
+        }
+    }
+    for (const auto& name : behind_) {
+        if (!behind.contains(name)) {
+            spdlog::info("entry no longer behind name={}", name);
+        }
+    }
+    behind_ = std::move(behind);
+    registry_.gauge_of("entries_behind", "entries that lack a change of the directory made over a second ago")
+        .set(static_cast<std::int64_t>(behind_.size()));
+    registry_.gauge_of("directory_lag_ms", "age of the oldest change that such an entry lacks")
+        .set(milliseconds(longest));
+}
+
 void control_node::on_leaving_reports(const wire::LoadReport& report) {
     for (const auto& it : report.leaving) {
         const directory::upstream_incarnation incarnation{it.upstream, it.upstream_started_ms};
--- a/src/router/control_process.cpp
+++ b/src/router/control_process.cpp
@@ -105,7 +105,7 @@
       seed_watcher_(control_.io, read_settings,
                     [this](const std::vector<std::string>& ips) { node_->set_seeds(ips); }) {
     node_ = std::make_unique<control_node>(
-        control_.io, settings_,
+        control_.io, settings_, registry_,
         [this](const key_ranges::call& call, on_call_result done) { send_call(call, std::move(done)); });
     metrics_ = make_metrics_server(traffic_.io, settings_, registry_);
     app::http_server_options options;
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -404,6 +404,7 @@
         return known == nullptr || !known->accepts_work();
     });
     report_.leaving.assign(leaving_.begin(), leaving_.end());
+    report_.directory_index = directory_->index;
     return std::exchange(report_, {});
 }
 
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -65,7 +65,9 @@
     std::set<request_digest> survived; ///< listed poison requests that an upstream answered
     std::vector<limit_statement> limits;
     std::vector<directory::upstream_incarnation>
-        leaving; ///< have said in an answer that they are about to stop
+        leaving;                       ///< have said in an answer that they are about to stop
+    std::uint64_t directory_index = 0; ///< of the directory that requests follow
+    /// Whether nothing was measured.
     bool empty() const {
         return keys.empty() && upstreams.empty() && crashed.empty() && survived.empty() && limits.empty() &&
                leaving.empty();
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -47,6 +47,8 @@
 private:
     void make_servers(const protocol_adapter& protocol);
     void make_gates();
+    /// Records how long a directory waited for the traffic thread.
+    void record_handover(const directory::snapshot& held, duration waited);
     void schedule_report();
     void start_stopping();
     void poll_stop();
@@ -66,6 +68,8 @@
     asio::signal_set signals_{control_.io, SIGTERM, SIGINT};
     asio::steady_timer report_timer_{traffic_.io};
     int reports_ = 0;
+    std::uint64_t reported_index_ = 0; ///< of the directory
+    std::uint64_t served_version_ = 0; ///< of the configuration
     asio::steady_timer stop_timer_{traffic_.io};
     std::atomic<bool> ready_{false};
     std::atomic<bool> stopping_{false};
@@ -89,8 +93,10 @@
     control_links::observer callbacks;
     callbacks.on_directory = [this](directory::snapshot_ptr held) {
         const bool usable = held->config != nullptr;
-        asio::post(traffic_.io,
-                   [this, held = std::move(held)]() mutable { dispatcher_->set_directory(std::move(held)); });
+        asio::post(traffic_.io, [this, held = std::move(held), since = steady_now()]() mutable {
+            record_handover(*held, steady_now() - since);
+            dispatcher_->set_directory(std::move(held));
+        });
         if (usable && !ready_.exchange(true)) {
             spdlog::info("entry ready");
         }
@@ -109,7 +115,7 @@
     callbacks.on_limits = [this](std::vector<limit_statement> listed) {
         asio::post(traffic_.io, [this, listed = std::move(listed)] { dispatcher_->set_limits(listed); });
     };
-    links_ = std::make_unique<control_links>(control_.io, settings_, std::move(callbacks));
+    links_ = std::make_unique<control_links>(control_.io, settings_, registry_, std::move(callbacks));
     make_gates();
 }
 
@@ -159,6 +165,18 @@
         });
 }
 
+void entry_process::record_handover(const directory::snapshot& held, duration waited) {
+    registry_
+        .histogram_of("directory_handover_seconds",
+                      "time for which directories waited for the traffic thread")
+        .record(static_cast<std::uint64_t>(waited.count()));
+    if (held.config && held.config->version != served_version_) {
+        served_version_ = held.config->version;
+        spdlog::info("configuration serves version={} index={} waited_ms={}", served_version_, held.index,
+                     std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
+    }
+}
+
 void entry_process::schedule_report() {
     report_timer_.expires_after(report_interval);
     report_timer_.async_wait([this](const asio::error_code& ec) {
@@ -167,7 +185,8 @@
         }
         schedule_report(); // first: a report that fails is not the last one
         auto report = dispatcher_->take_report();
-        if (!report.empty()) {
+        if (!report.empty() || report.directory_index != reported_index_) {
+            reported_index_ = report.directory_index;
             asio::post(control_.io, [this, report = std::move(report)] { links_->send_report(report); });
         }
         if (++reports_ % reports_per_usage_line == 0) {
--- a/tests/router/control_links_test.cpp
+++ b/tests/router/control_links_test.cpp
@@ -56,7 +56,8 @@
     callbacks.on_entries = [](const auto&) {};
     callbacks.on_poison_requests = [](const auto&) {};
     callbacks.on_limits = [](const auto&) {};
-    control_links entry(context, settings, std::move(callbacks));
+    metrics::registry registry;
+    control_links entry(context, settings, registry, std::move(callbacks));
     const time_point end = steady_now() + std::chrono::seconds(5);
     while (subscriptions < 2 && steady_now() < end) {
         context.run_for(milliseconds(10));
--- a/tests/router/control_node_test.cpp
+++ b/tests/router/control_node_test.cpp
@@ -79,7 +79,8 @@
     asio::io_context context;
     const test::temporary_folder folder;
     const auto settings = settings_of(folder);
-    control_node node(context, settings, [](const auto&, const auto&) {});
+    metrics::registry registry;
+    control_node node(context, settings, registry, [](const auto&, const auto&) {});
     fake_entry entry(context, "127.0.0.1:1", settings);
     const auto run_until = [&](const std::function<bool()>& condition) {
         const time_point end = steady_now() + std::chrono::seconds(10);
@@ -117,7 +118,8 @@
     asio::io_context context;
     const test::temporary_folder folder;
     const auto settings = settings_of(folder);
-    control_node node(context, settings, [](const auto&, const auto&) {});
+    metrics::registry registry;
+    control_node node(context, settings, registry, [](const auto&, const auto&) {});
     const auto run_until = [&](const std::function<bool()>& condition) {
         const time_point end = steady_now() + std::chrono::seconds(10);
         while (!condition() && steady_now() < end) {
