Entries: updates of a former subscription are not taken for those of the current one

Cause: control instances go on sending changes to every entry that ever subscribed to them. An entry that comes back to one, such as the seed that it reached first and that leads now, gets changes that were on their way when it subscribed. Nothing tells them from those of its new subscription; their base is not what it holds, so it refused them, dropped its source and subscribed again 200 ms later, into the next ones. While changes follow each other more closely than a message goes there and back, it stays at its old directory, for as long as they do.

Subscriptions are numbered, and a control instance repeats the number (new frame directory_subscribed) before the first update of the subscription. The connection keeps the order, so what arrives before it is of an earlier subscription and is dropped; what arrives after it begins at what the entry holds. Control instances say in their status that they confirm, so releases can be mixed.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -105,6 +105,9 @@
   1: i64 known_index
   // Understands directory_update_compressed.
   2: bool expands
+  // Different for each subscription of a sender; 0 if it does not expect directory_subscribed. That frame repeats the
+  // number and precedes the updates of the subscription: those before it belong to an earlier one.
+  3: i64 subscription
 }
 
 struct EntryInstance {
@@ -136,6 +139,8 @@
   5: list<EntryInstance> entries
   6: list<WatchedRequest> watched
   7: list<UpstreamLimit> limits
+  // Sends directory_subscribed.
+  8: bool confirms_subscriptions
 }
 
 // Sent to control instances by entry instances and by other control instances.
--- a/include/kingcupseam/transport.h
+++ b/include/kingcupseam/transport.h
@@ -51,8 +51,9 @@
     routed_cancel,
     directory_update_compressed,
     routed_reply_part,
+    directory_subscribed,
 };
-inline constexpr std::uint16_t last_frame_type = static_cast<std::uint16_t>(frame_type::routed_reply_part);
+inline constexpr std::uint16_t last_frame_type = static_cast<std::uint16_t>(frame_type::directory_subscribed);
 
 /// Of the type, the correlation number and the payload.
 inline constexpr std::uint32_t max_frame_bytes = 8 * 1024 * 1024;
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -62,7 +62,7 @@
 
 void control_links::on_link_state(const std::string& name, bool up) {
     spdlog::info("control instance {} name={}", up ? "reached" : "lost", name);
-    control_instances_[name] = {false, 0, up};
+    control_instances_[name] = {false, 0, up, false};
     if (up) {
         send_join(link(name));
     } else if (source_ == name) {
@@ -74,6 +74,8 @@
 void control_links::on_frame(const std::string& name, const transport::frame& received) {
     if (received.type == frame_type::control_status) {
         on_status(name, received.payload);
+    } else if (received.type == frame_type::directory_subscribed) {
+        on_subscribed(name, received.payload);
     } else if (received.type == frame_type::directory_update) {
         on_update(name, received.payload);
     } else if (received.type == frame_type::directory_update_compressed) {
@@ -89,7 +91,7 @@
     for (const auto& it : status.entries) {
         parse_instance_name(it.name);
     }
-    control_instances_[name] = {status.leads, status.term, true};
+    control_instances_[name] = {status.leads, status.term, true, status.confirms_subscriptions};
     for (const auto& it : status.control_instances) {
         dial(it);
     }
@@ -132,16 +134,26 @@
     const control_instance& source = control_instances_.at(name);
     spdlog::info("directory source name={} leads={} term={} held={}", name, source.leads, source.term,
                  directory_->index);
+    // A control instance of an earlier release does not confirm.
+    subscribed_ = !source.confirms_subscriptions;
     wire::DirectorySubscribe request;
     request.known_index = static_cast<std::int64_t>(directory_->index);
     request.expands = true;
+    request.subscription = ++subscription_;
     link(name).notify({frame_type::directory_subscribe, 0, encode(request)});
 }
 
+void control_links::on_subscribed(const std::string& name, const std::string& payload) {
+    const auto confirmed = decode<wire::DirectorySubscribe>(payload);
+    if (name == source_ && confirmed.subscription == subscription_) {
+        subscribed_ = true;
+    }
+}
+
 void control_links::on_update(const std::string& name, const std::string& payload) {
-    if (name != source_) {
+    if (name != source_ || !subscribed_) {
         count_update("former");
-        return; // from a former subscription
+        return;
     }
     try {
         auto next =
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -44,6 +44,7 @@
         bool leads = false;
         std::int64_t term = 0;
         bool up = false;
+        bool confirms_subscriptions = false;
     };
 
     void dial(const std::string& name);
@@ -53,10 +54,11 @@
     void on_link_state(const std::string& name, bool up);
     void on_frame(const std::string& name, const transport::frame& received);
     void on_status(const std::string& name, const std::string& payload);
+    void on_subscribed(const std::string& name, const std::string& payload);
     void on_update(const std::string& name, const std::string& payload);
     void choose_source();
     void subscribe(const std::string& name);
-    /// @param result applied, refused, or former for one of a former source
+    /// @param result applied, refused, or former for one of a former subscription
     void count_update(const char* result);
 
     asio::io_context& context_;
@@ -68,7 +70,9 @@
     std::map<std::string, control_instance> control_instances_;
     std::map<std::string, std::unique_ptr<transport::peer_link>> links_;
     bool leaving_ = false;
-    std::string source_; ///< control instance whose directory updates are subscribed to
+    std::string source_;            ///< control instance whose directory updates are subscribed to
+    std::int64_t subscription_ = 0; ///< number of the newest subscription
+    bool subscribed_ = false;       ///< updates of the source belong to the newest subscription
     asio::steady_timer retry_timer_;
 };
 
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -148,7 +148,8 @@
         break;
     case frame_type::directory_subscribe: {
         const auto request = decode<wire::DirectorySubscribe>(received.payload);
-        publisher_.subscribe(from, static_cast<std::uint64_t>(request.known_index), request.expands);
+        publisher_.subscribe(from, {static_cast<std::uint64_t>(request.known_index), request.expands,
+                                    static_cast<std::uint64_t>(request.subscription)});
         break;
     }
     case frame_type::load_report:
--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -1,5 +1,9 @@
 #include "router/directory_publisher.h"
 
+#include <directory_types.h>
+
+#include <utility>
+
 namespace kingcupseam::router {
 
 namespace {
@@ -16,8 +20,8 @@
 } // namespace
 
 void directory_publisher::subscribe(const std::shared_ptr<transport::connection>& peer,
-                                    std::uint64_t known_index, bool expands) {
-    subscribers_[peer->peer().id.name] = {peer, known_index, expands};
+                                    const directory_subscription& wanted) {
+    subscribers_[peer->peer().id.name] = {peer, wanted.known_index, wanted.expands, wanted.number};
     has_new_subscriber_ = true;
     schedule_flush(batch_interval);
 }
@@ -63,6 +67,12 @@
     return result;
 }
 
+void directory_publisher::confirm(transport::connection& peer, subscriber& to) {
+    wire::DirectorySubscribe confirmed;
+    confirmed.subscription = static_cast<std::int64_t>(std::exchange(to.unconfirmed, 0));
+    peer.send({transport::frame_type::directory_subscribed, 0, transport::encode(confirmed)});
+}
+
 void directory_publisher::send(transport::connection& peer, const update& changes, bool expands) {
     if (expands && !changes.compressed.empty()) {
         peer.send({transport::frame_type::directory_update_compressed, 0, changes.compressed});
@@ -107,6 +117,9 @@
         }
         const auto peer = it->second.peer.lock();
         const bool open = peer && peer->open();
+        if (open && it->second.unconfirmed != 0) {
+            confirm(*peer, it->second);
+        }
         if (open && it->second.known_index < target_->index) {
             if (sent == max_updates_per_turn) {
                 return;
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -15,6 +15,14 @@
 
 namespace kingcupseam::router {
 
+struct directory_subscription {
+    /// Of the subscriber's directory; 0 when it has none. A subscriber that is ahead, as its former source
+    /// was, gets nothing until publish() has passed this index.
+    std::uint64_t known_index = 0;
+    bool expands = false;     ///< takes compressed updates
+    std::uint64_t number = 0; ///< sent before the first update; 0: not sent
+};
+
 /// Sends the directory to subscribed entries: the whole state to those that hold none or a long outdated one,
 /// otherwise differences.
 class directory_publisher {
@@ -22,11 +30,8 @@
     directory_publisher(asio::io_context& context, task_times& measured)
         : timer_(context), task_times_(measured) {}
 
-    /// @param known_index index of the subscriber's directory; 0 when it has none. A subscriber that is
-    /// ahead, as its former source was, gets nothing until publish() has passed this index.
-    /// @param expands whether the subscriber takes compressed updates
-    void subscribe(const std::shared_ptr<transport::connection>& peer, std::uint64_t known_index,
-                   bool expands);
+    /// Replaces an earlier subscription of the same peer.
+    void subscribe(const std::shared_ptr<transport::connection>& peer, const directory_subscription& wanted);
     void publish(directory::snapshot_ptr current);
     std::size_t subscribers() const noexcept { return subscribers_.size(); }
 
@@ -35,6 +40,7 @@
         std::weak_ptr<transport::connection> peer;
         std::uint64_t known_index = 0; ///< of the directory that it holds or that was sent
         bool expands = false;
+        std::uint64_t unconfirmed = 0; ///< number of the subscription until it is sent
     };
     struct update {
         std::string plain;
@@ -44,6 +50,7 @@
     void schedule_flush(duration delay);
     /// Sends updates to some subscribers; round_left_ tells how many follow.
     void flush();
+    static void confirm(transport::connection& peer, subscriber& to);
     static void send(transport::connection& peer, const update& changes, bool expands);
     /// Sends what the subscriber lacks of the round's target.
     void send_target(transport::connection& peer, const subscriber& to);
--- a/tests/router/directory_memory_test.cpp
+++ b/tests/router/directory_memory_test.cpp
@@ -141,7 +141,7 @@
     harness it;
     directory::snapshot state;
     const auto entry = std::make_shared<fake_entry>("entry");
-    it.publisher.subscribe(entry, 0, false);
+    it.publisher.subscribe(entry, {0, false});
     state.index = 1;
     state.config = make_configuration(1, 100, mebibyte);
     it.publish(state);
--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -92,14 +92,14 @@
         it.publisher(0).publish(states[i]);
         it.publisher(1).publish(states[i]);
     }
-    it.publisher(0).subscribe(entry, 0, false);
+    it.publisher(0).subscribe(entry, {0, false});
     it.run();
     REQUIRE(entry->held.index == 100);
     const std::size_t whole = entry->bytes;
     entry->bytes = 0;
 
     SUBCASE("when the other one has the same directory") {
-        it.publisher(1).subscribe(entry, entry->held.index, false);
+        it.publisher(1).subscribe(entry, {entry->held.index, false});
         it.run();
         CHECK(entry->updates == 1);
         it.publisher(1).publish(states[100]);
@@ -110,7 +110,7 @@
         for (std::size_t i = 100; i < 120; ++i) {
             it.publisher(1).publish(states[i]);
         }
-        it.publisher(1).subscribe(entry, entry->held.index, false);
+        it.publisher(1).subscribe(entry, {entry->held.index, false});
         it.run();
         CHECK(entry->held.index == 120);
         CHECK(entry->held.upstreams == states[119]->upstreams);
@@ -123,7 +123,7 @@
         it.run();
         REQUIRE(entry->held.index == 110);
         entry->bytes = 0;
-        it.publisher(1).subscribe(entry, entry->held.index, false);
+        it.publisher(1).subscribe(entry, {entry->held.index, false});
         it.run();
         CHECK(entry->bytes == 0);
         for (std::size_t i = 100; i < 115; ++i) {
@@ -138,11 +138,11 @@
         const auto early = std::make_shared<fake_entry>("early");
         directory_publisher skipping(it.context, it.times);
         skipping.publish(states[49]);
-        skipping.subscribe(early, 0, false);
+        skipping.subscribe(early, {0, false});
         it.run();
         REQUIRE(early->held.index == 50);
         skipping.publish(states[119]);
-        skipping.subscribe(entry, entry->held.index, false);
+        skipping.subscribe(entry, {entry->held.index, false});
         it.run();
         CHECK(entry->held.index == 120);
         CHECK_FALSE(entry->goes_back);
@@ -150,7 +150,7 @@
     SUBCASE("and one that starts then gets the same directory") {
         it.publisher(0).publish(states[100]);
         const auto started = std::make_shared<fake_entry>("started");
-        it.publisher(0).subscribe(started, 0, false);
+        it.publisher(0).subscribe(started, {0, false});
         it.run();
         CHECK(started->held.index == 101);
         CHECK(started->held.upstreams == states[100]->upstreams);
@@ -160,7 +160,7 @@
         for (std::size_t i = 100; i < 200; ++i) {
             it.publisher(1).publish(states[i]);
         }
-        it.publisher(1).subscribe(entry, entry->held.index, false);
+        it.publisher(1).subscribe(entry, {entry->held.index, false});
         it.run();
         CHECK(entry->held.upstreams == states[199]->upstreams);
     }
@@ -172,8 +172,8 @@
     const auto states = make_states(2);
     const auto newer = std::make_shared<fake_entry>("newer");
     const auto older = std::make_shared<fake_entry>("older");
-    it.publisher(0).subscribe(newer, 0, true);
-    it.publisher(0).subscribe(older, 0, false);
+    it.publisher(0).subscribe(newer, {0, true});
+    it.publisher(0).subscribe(older, {0, false});
     it.publisher(0).publish(states[0]);
     it.run();
     CHECK(newer->held.config->routes == states[0]->config->routes);
@@ -191,7 +191,7 @@
     std::vector<std::shared_ptr<fake_entry>> entries;
     for (int i = 0; i < 89; ++i) {
         entries.push_back(std::make_shared<fake_entry>("entry" + std::to_string(i)));
-        it.publisher(0).subscribe(entries.back(), 0, false);
+        it.publisher(0).subscribe(entries.back(), {0, false});
     }
     it.publisher(0).publish(states[0]);
     const auto updated = [&] {
@@ -213,7 +213,7 @@
     std::vector<std::shared_ptr<fake_entry>> entries;
     for (int i = 10; i < 30; ++i) {
         entries.push_back(std::make_shared<fake_entry>("m" + std::to_string(i)));
-        it.publisher(0).subscribe(entries.back(), 0, true);
+        it.publisher(0).subscribe(entries.back(), {0, true});
     }
     it.publisher(0).publish(states[0]);
     it.context.run_one_for(std::chrono::milliseconds(60));
@@ -221,7 +221,7 @@
     REQUIRE(entries.back()->held.index == 0);
     // Its name comes before those that the round still has to visit.
     entries.push_back(std::make_shared<fake_entry>("a"));
-    it.publisher(0).subscribe(entries.back(), 0, true);
+    it.publisher(0).subscribe(entries.back(), {0, true});
     it.run();
     for (const auto& entry : entries) {
         CHECK(entry->held.index == 1);
@@ -235,7 +235,7 @@
     std::vector<std::shared_ptr<fake_entry>> entries;
     for (int i = 0; i < 89; ++i) {
         entries.push_back(std::make_shared<fake_entry>("entry" + std::to_string(i)));
-        it.publisher(0).subscribe(entries.back(), 0, true);
+        it.publisher(0).subscribe(entries.back(), {0, true});
     }
     for (const auto& state : states) {
         it.publisher(0).publish(state);
--- /dev/null
+++ b/tests/router/subscription_test.cpp
@@ -0,0 +1,188 @@
+#include "router/control_links.h"
+#include "router/directory_publisher.h"
+#include "router/link_settings.h"
+#include "support/delaying_relay.h"
+#include "support/free_port.h"
+
+#include <directory_types.h>
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcupseam::router {
+
+namespace {
+
+using std::chrono::milliseconds;
+using transport::frame_type;
+
+constexpr duration link_delay = milliseconds(30);     ///< each way
+constexpr duration change_interval = milliseconds(5); ///< shorter than a message takes
+constexpr duration max_apply_time = std::chrono::seconds(2);
+
+/// The directory at a log index; the version of its configuration is the index in thousands.
+directory::snapshot_ptr directory_at(std::uint64_t index) {
+    directory::snapshot result;
+    result.index = index;
+    directory::configuration config;
+    config.version = index / 1000;
+    result.config = std::make_shared<const directory::configuration>(std::move(config));
+    directory::upstream one;
+    one.incarnation = {"u", 1};
+    one.address = {"127.0.0.1", 80};
+    one.slots = static_cast<std::int32_t>(index);
+    result.upstreams.emplace("u", one);
+    return std::make_shared<const directory::snapshot>(std::move(result));
+}
+
+transport::peer_identity identity_of(std::string name) {
+    transport::peer_identity result;
+    result.id.name = std::move(name);
+    result.id.incarnation = 1;
+    return result;
+}
+
+/// A control instance at an address of its own, behind a slow link.
+class control_instance {
+public:
+    control_instance(asio::io_context& context, const std::string& ip, std::uint16_t port)
+        : name_(to_string(endpoint_address{ip, port})), port_(test::free_port()),
+          relay_(context, {asio::ip::make_address(ip), port}, {asio::ip::make_address("127.0.0.1"), port_},
+                 link_delay),
+          publisher_(context, times_),
+          server_(context, {"127.0.0.1", port_}, identity_of(name_), control_link_settings(),
+                  [this](const auto& from, const transport::frame& received) { on_frame(from, received); }) {}
+
+    void publish(std::uint64_t index) { publisher_.publish(directory_at(index)); }
+    void set_leads(bool leads, std::int64_t term) {
+        status_.leads = leads;
+        status_.term = term;
+        for (const auto& it : joined_) {
+            send_status(it);
+        }
+    }
+    /// Makes it one of an earlier release, which does not number subscriptions.
+    void set_confirms(bool confirms) { status_.confirms_subscriptions = confirms; }
+    int subscriptions = 0;
+
+private:
+    void on_frame(const std::shared_ptr<transport::connection>& from, const transport::frame& received) {
+        if (received.type == frame_type::join_request) {
+            joined_.push_back(from);
+            send_status(from);
+        } else if (received.type == frame_type::directory_subscribe) {
+            ++subscriptions;
+            const auto request = transport::decode<wire::DirectorySubscribe>(received.payload);
+            const auto number = status_.confirms_subscriptions ? request.subscription : 0;
+            publisher_.subscribe(from, {static_cast<std::uint64_t>(request.known_index), request.expands,
+                                        static_cast<std::uint64_t>(number)});
+        }
+    }
+    void send_status(const std::shared_ptr<transport::connection>& to) {
+        to->send({frame_type::control_status, 0, transport::encode(status_)});
+    }
+
+    std::string name_;
+    std::uint16_t port_;
+    test::delaying_relay relay_;
+    task_times times_;
+    directory_publisher publisher_;
+    std::vector<std::shared_ptr<transport::connection>> joined_;
+    wire::ControlStatus status_ = [] {
+        wire::ControlStatus result;
+        result.confirms_subscriptions = true;
+        return result;
+    }();
+    transport::peer_server server_;
+};
+
+/// An entry and two control instances, which apply the same changes.
+struct harness {
+    harness() {
+        settings.ip = std::string("127.0.0.1");
+        settings.peer_port = test::free_port();
+        settings.seeds = {"127.0.0.2", "127.0.0.3"};
+        a = std::make_unique<control_instance>(context, "127.0.0.2", settings.peer_port);
+        b = std::make_unique<control_instance>(context, "127.0.0.3", settings.peer_port);
+    }
+    void start_entry() {
+        control_links::observer callbacks;
+        callbacks.on_directory = [this](directory::snapshot_ptr it) { held.push_back(std::move(it)); };
+        callbacks.on_entries = [](const auto&) {};
+        callbacks.on_poison_requests = [](const auto&) {};
+        callbacks.on_limits = [](const auto&) {};
+        entry = std::make_unique<control_links>(context, settings, registry, std::move(callbacks));
+    }
+    std::uint64_t held_index() const { return held.empty() ? 0 : held.back()->index; }
+    void publish() {
+        ++index;
+        a->publish(index);
+        b->publish(index);
+    }
+    bool run_until(const std::function<bool()>& condition, duration limit) {
+        const time_point end = steady_now() + limit;
+        while (!condition() && steady_now() < end) {
+            if (changing && steady_now() >= next_change) {
+                next_change = steady_now() + change_interval;
+                publish();
+            }
+            context.run_for(milliseconds(1));
+            context.restart();
+        }
+        return condition();
+    }
+    void run(duration length) {
+        run_until([] { return false; }, length);
+    }
+
+    asio::io_context context;
+    process_settings settings;
+    metrics::registry registry;
+    std::unique_ptr<control_instance> a;
+    std::unique_ptr<control_instance> b;
+    std::unique_ptr<control_links> entry;
+    std::vector<directory::snapshot_ptr> held; ///< each directory that the entry served by
+    std::uint64_t index = 1000;
+    bool changing = true;
+    time_point next_change;
+};
+
+} // namespace
+
+// Guards against a configuration that an entry does not get while upstreams come and go.
+TEST_CASE("an entry follows a leader that led before, while changes go on") {
+    harness it;
+    it.a->set_leads(true, 1);
+    it.start_entry();
+    REQUIRE(it.run_until([&] { return it.held_index() > 1000; }, max_apply_time));
+    it.a->set_leads(false, 2);
+    it.b->set_leads(true, 2);
+    it.run(milliseconds(400));
+    it.b->set_leads(false, 3);
+    it.a->set_leads(true, 3);
+    for (int i = 0; i < 5; ++i) {
+        const std::uint64_t current = it.index;
+        CHECK(it.run_until([&] { return it.held_index() >= current; }, max_apply_time));
+        it.run(milliseconds(50));
+    }
+}
+
+TEST_CASE("an entry follows control instances of an earlier release") {
+    harness it;
+    it.a->set_confirms(false);
+    it.b->set_confirms(false);
+    it.a->set_leads(true, 1);
+    it.start_entry();
+    REQUIRE(it.run_until([&] { return it.held_index() > 1000; }, max_apply_time));
+    it.a->set_leads(false, 2);
+    it.b->set_leads(true, 2);
+    it.run(milliseconds(200));
+    const std::uint64_t current = it.index;
+    CHECK(it.run_until([&] { return it.held_index() >= current; }, max_apply_time));
+}
+
+} // namespace kingcupseam::router
