Entries: a started one does not serve by the directory that precedes the newest

Cause: an entry without a directory gets a whole one that the control instance has cached, up to 64 changes old whatever their age, and then the difference to the newest. It was ready, and served, between the two.

The new test failed before: the first directory had index 1012 where the newest was 1043.

directory_subscribed, which precedes the updates, names the index of the control instance's directory; until the entry has reached it, it does not pass on what it has. Both updates are sent in one step, so this costs a start no more than they take.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -106,7 +106,8 @@
   // Understands directory_update_compressed.
   2: bool expands
   // Different for each subscription of a sender; 0 if it does not expect directory_subscribed. That frame repeats the
-  // number and precedes the updates of the subscription: those before it belong to an earlier one.
+  // number and precedes the updates of the subscription: those before it belong to an earlier one. Its known_index is
+  // the control instance's: the updates up to it follow at once, and the directory is outdated before.
   3: i64 subscription
 }
 
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -136,6 +136,7 @@
                  directory_->index);
     // A control instance of an earlier release does not confirm.
     subscribed_ = !source.confirms_subscriptions;
+    source_index_ = 0;
     wire::DirectorySubscribe request;
     request.known_index = static_cast<std::int64_t>(directory_->index);
     request.expands = true;
@@ -147,6 +148,7 @@
     const auto confirmed = decode<wire::DirectorySubscribe>(payload);
     if (name == source_ && confirmed.subscription == subscription_) {
         subscribed_ = true;
+        source_index_ = static_cast<std::uint64_t>(confirmed.known_index);
     }
 }
 
@@ -171,7 +173,7 @@
         }
         directory_ = std::move(next);
         count_update("applied");
-        callbacks_.on_directory(directory_);
+        serve_if_current();
     } catch (const invalid_input& e) {
         count_update("refused");
         spdlog::warn("directory update refused from={} held={} problem=\"{}\"", name, directory_->index,
@@ -186,6 +188,12 @@
     }
 }
 
+void control_links::serve_if_current() {
+    if (directory_->index >= source_index_) {
+        callbacks_.on_directory(directory_);
+    }
+}
+
 void control_links::count_update(const char* result) {
     registry_
         .counter_of("directory_updates_total", "updates of the directory by result", {{"result", result}})
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -58,6 +58,8 @@
     void on_update(const std::string& name, const std::string& payload);
     void choose_source();
     void subscribe(const std::string& name);
+    /// Passes the directory on unless the source is about to send the rest of a newer one.
+    void serve_if_current();
     /// @param result applied, refused, or former for one of a former subscription
     void count_update(const char* result);
 
@@ -70,9 +72,10 @@
     std::map<std::string, control_instance> control_instances_;
     std::map<std::string, std::unique_ptr<transport::peer_link>> links_;
     bool leaving_ = false;
-    std::string source_;            ///< control instance whose directory updates are subscribed to
-    std::int64_t subscription_ = 0; ///< number of the newest subscription
-    bool subscribed_ = false;       ///< updates of the source belong to the newest subscription
+    std::string source_;             ///< control instance whose directory updates are subscribed to
+    std::int64_t subscription_ = 0;  ///< number of the newest subscription
+    std::uint64_t source_index_ = 0; ///< of the source's directory when the subscription began
+    bool subscribed_ = false;        ///< updates of the source belong to the newest subscription
     asio::steady_timer retry_timer_;
 };
 
--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -67,8 +67,9 @@
     return result;
 }
 
-void directory_publisher::confirm(transport::connection& peer, subscriber& to) {
+void directory_publisher::confirm(transport::connection& peer, subscriber& to) const {
     wire::DirectorySubscribe confirmed;
+    confirmed.known_index = static_cast<std::int64_t>(target_->index);
     confirmed.subscription = static_cast<std::int64_t>(std::exchange(to.unconfirmed, 0));
     peer.send({transport::frame_type::directory_subscribed, 0, transport::encode(confirmed)});
 }
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -50,7 +50,8 @@
     void schedule_flush(duration delay);
     /// Sends updates to some subscribers; round_left_ tells how many follow.
     void flush();
-    static void confirm(transport::connection& peer, subscriber& to);
+    /// Sends the number of the subscription and the index of the round's target.
+    void confirm(transport::connection& peer, subscriber& to) const;
     static void send(transport::connection& peer, const update& changes, bool expands);
     /// Sends what the subscriber lacks of the round's target.
     void send_target(transport::connection& peer, const subscriber& to);
--- a/tests/router/subscription_test.cpp
+++ b/tests/router/subscription_test.cpp
@@ -100,7 +100,13 @@
     transport::peer_server server_;
 };
 
-/// An entry and two control instances, which apply the same changes.
+/// The directories that an entry serves by, one after another.
+struct served_directories {
+    std::uint64_t index() const { return all.empty() ? 0 : all.back()->index; }
+    std::vector<directory::snapshot_ptr> all;
+};
+
+/// Two control instances, which apply the same changes, and entries.
 struct harness {
     harness() {
         settings.ip = std::string("127.0.0.1");
@@ -109,15 +115,20 @@
         a = std::make_unique<control_instance>(context, "127.0.0.2", settings.peer_port);
         b = std::make_unique<control_instance>(context, "127.0.0.3", settings.peer_port);
     }
-    void start_entry() {
+    /// @returns what the new entry serves by
+    served_directories& start_entry() {
+        auto& served = *served_.emplace_back(std::make_unique<served_directories>());
         control_links::observer callbacks;
-        callbacks.on_directory = [this](directory::snapshot_ptr it) { held.push_back(std::move(it)); };
+        callbacks.on_directory = [&served](directory::snapshot_ptr it) {
+            served.all.push_back(std::move(it));
+        };
         callbacks.on_entries = [](const auto&) {};
         callbacks.on_poison_requests = [](const auto&) {};
         callbacks.on_limits = [](const auto&) {};
-        entry = std::make_unique<control_links>(context, settings, registry, std::move(callbacks));
+        entries_.push_back(
+            std::make_unique<control_links>(context, settings, registry, std::move(callbacks)));
+        return served;
     }
-    std::uint64_t held_index() const { return held.empty() ? 0 : held.back()->index; }
     void publish() {
         ++index;
         a->publish(index);
@@ -144,11 +155,13 @@
     metrics::registry registry;
     std::unique_ptr<control_instance> a;
     std::unique_ptr<control_instance> b;
-    std::unique_ptr<control_links> entry;
-    std::vector<directory::snapshot_ptr> held; ///< each directory that the entry served by
     std::uint64_t index = 1000;
     bool changing = true;
     time_point next_change;
+
+private:
+    std::vector<std::unique_ptr<served_directories>> served_;
+    std::vector<std::unique_ptr<control_links>> entries_;
 };
 
 } // namespace
@@ -157,8 +170,8 @@
 TEST_CASE("an entry follows a leader that led before, while changes go on") {
     harness it;
     it.a->set_leads(true, 1);
-    it.start_entry();
-    REQUIRE(it.run_until([&] { return it.held_index() > 1000; }, max_apply_time));
+    const auto& served = it.start_entry();
+    REQUIRE(it.run_until([&] { return served.index() > 1000; }, max_apply_time));
     it.a->set_leads(false, 2);
     it.b->set_leads(true, 2);
     it.run(milliseconds(400));
@@ -166,23 +179,36 @@
     it.a->set_leads(true, 3);
     for (int i = 0; i < 5; ++i) {
         const std::uint64_t current = it.index;
-        CHECK(it.run_until([&] { return it.held_index() >= current; }, max_apply_time));
+        CHECK(it.run_until([&] { return served.index() >= current; }, max_apply_time));
         it.run(milliseconds(50));
     }
 }
 
+// Guards against a started entry that serves by a configuration that is no longer in force.
+TEST_CASE("an entry that starts does not serve by a directory that is sent before the newest one") {
+    harness it;
+    it.a->set_leads(true, 1);
+    const auto& before = it.start_entry();
+    REQUIRE(it.run_until([&] { return before.index() > 1000; }, max_apply_time));
+    it.run(milliseconds(100));
+    const std::uint64_t current = it.index;
+    const auto& served = it.start_entry();
+    REQUIRE(it.run_until([&] { return !served.all.empty(); }, max_apply_time));
+    CHECK(served.all.front()->index >= current);
+}
+
 TEST_CASE("an entry follows control instances of an earlier release") {
     harness it;
     it.a->set_confirms(false);
     it.b->set_confirms(false);
     it.a->set_leads(true, 1);
-    it.start_entry();
-    REQUIRE(it.run_until([&] { return it.held_index() > 1000; }, max_apply_time));
+    const auto& served = it.start_entry();
+    REQUIRE(it.run_until([&] { return served.index() > 1000; }, max_apply_time));
     it.a->set_leads(false, 2);
     it.b->set_leads(true, 2);
     it.run(milliseconds(200));
     const std::uint64_t current = it.index;
-    CHECK(it.run_until([&] { return it.held_index() >= current; }, max_apply_time));
+    CHECK(it.run_until([&] { return served.index() >= current; }, max_apply_time));
 }
 
 } // namespace kingcupseam::router
