Entries: a started one waits for the leader's directory before it serves

Cause: an entry took its first directory from whichever control instance it reached first. One that has just started itself, is cut off or is no longer a member holds what it last applied, and nothing tells the entry how old that is.

Evidence: the new test failed before in 3 of its checks: an entry whose quickest control instance lags served by index 1001 where the leader had 1020, also while no leader was known.

The first directory that an entry serves by is that of a leader, which has applied all that was committed before its term. Without one the entry serves by what it has after 1.5 s, longer than an election takes, since a data centre that is cut off has to go on. A control instance counts as reached once its status is known.

--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -18,6 +18,9 @@
 using transport::frame_type;
 
 constexpr duration retry_interval = std::chrono::milliseconds(200);
+// Longer than an election takes. A data centre that is cut off from the leader then serves by what its own
+// control instances hold.
+constexpr duration max_leader_wait = std::chrono::milliseconds(1500);
 
 std::uint64_t new_incarnation() {
     return static_cast<std::uint64_t>(steady_now().time_since_epoch().count());
@@ -31,7 +34,7 @@
       callbacks_(std::move(callbacks)), self_{{to_string(endpoint_address{settings.ip, settings.peer_port}),
                                                new_incarnation()},
                                               settings.data_center},
-      retry_timer_(context) {
+      retry_timer_(context), leader_wait_timer_(context) {
     set_seeds(settings_.seeds);
 }
 
@@ -62,10 +65,12 @@
 
 void control_links::on_link_state(const std::string& name, bool up) {
     spdlog::info("control instance {} name={}", up ? "reached" : "lost", name);
-    control_instances_[name] = {false, 0, up, false};
+    control_instances_[name] = {};
     if (up) {
-        send_join(link(name));
-    } else if (source_ == name) {
+        send_join(link(name)); // answered with a status
+        return;
+    }
+    if (source_ == name) {
         source_.clear();
     }
     choose_source();
@@ -91,6 +96,7 @@
     for (const auto& it : status.entries) {
         parse_instance_name(it.name);
     }
+    const bool begins_to_lead = status.leads && !control_instances_[name].leads;
     control_instances_[name] = {status.leads, status.term, true, status.confirms_subscriptions};
     for (const auto& it : status.control_instances) {
         dial(it);
@@ -108,7 +114,11 @@
         callbacks_.on_poison_requests(std::move(listed));
         callbacks_.on_limits(from_wire(status.limits));
     }
-    choose_source();
+    if (begins_to_lead && name == source_ && !serves_) {
+        subscribe(name); // to learn up to which index its directory goes now
+    } else {
+        choose_source();
+    }
 }
 
 void control_links::choose_source() {
@@ -189,9 +199,35 @@
 }
 
 void control_links::serve_if_current() {
-    if (directory_->index >= source_index_) {
-        callbacks_.on_directory(directory_);
+    if (directory_->index < source_index_) {
+        return;
+    }
+    if (!serves_ && !source_leads()) {
+        wait_for_leader();
+        return;
+    }
+    serves_ = true;
+    callbacks_.on_directory(directory_);
+}
+
+bool control_links::source_leads() const {
+    const auto found = control_instances_.find(source_);
+    return found != control_instances_.end() && found->second.leads;
+}
+
+void control_links::wait_for_leader() {
+    if (!directory_->config || std::exchange(waits_for_leader_, true)) {
+        return;
     }
+    leader_wait_timer_.expires_after(max_leader_wait);
+    leader_wait_timer_.async_wait([this](const asio::error_code& ec) {
+        if (!ec && !serves_) {
+            spdlog::warn("no leader within reach: the directory may be outdated source={} index={}", source_,
+                         directory_->index);
+            serves_ = true;
+            callbacks_.on_directory(directory_);
+        }
+    });
 }
 
 void control_links::count_update(const char* result) {
@@ -215,8 +251,7 @@
 }
 
 void control_links::send_report(const traffic_report& report) {
-    const auto found = control_instances_.find(source_);
-    if (found == control_instances_.end() || !found->second.leads) {
+    if (!source_leads()) {
         return;
     }
     wire::LoadReport out;
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -43,7 +43,7 @@
     struct control_instance {
         bool leads = false;
         std::int64_t term = 0;
-        bool up = false;
+        bool up = false; ///< connected, and its status is known
         bool confirms_subscriptions = false;
     };
 
@@ -58,8 +58,12 @@
     void on_update(const std::string& name, const std::string& payload);
     void choose_source();
     void subscribe(const std::string& name);
-    /// Passes the directory on unless the source is about to send the rest of a newer one.
+    /// Passes the directory on unless the source is about to send the rest of a newer one. The first one must
+    /// be that of the leader: another control instance may lag by any time.
     void serve_if_current();
+    bool source_leads() const;
+    /// Passes on the directory of another control instance if there is no leader for some time.
+    void wait_for_leader();
     /// @param result applied, refused, or former for one of a former subscription
     void count_update(const char* result);
 
@@ -76,7 +80,10 @@
     std::int64_t subscription_ = 0;  ///< number of the newest subscription
     std::uint64_t source_index_ = 0; ///< of the source's directory when the subscription began
     bool subscribed_ = false;        ///< updates of the source belong to the newest subscription
+    bool serves_ = false;            ///< a directory has been passed on
+    bool waits_for_leader_ = false;
     asio::steady_timer retry_timer_;
+    asio::steady_timer leader_wait_timer_;
 };
 
 } // namespace kingcupseam::router
--- a/tests/router/subscription_test.cpp
+++ b/tests/router/subscription_test.cpp
@@ -20,7 +20,7 @@
 using std::chrono::milliseconds;
 using transport::frame_type;
 
-constexpr duration link_delay = milliseconds(30);     ///< each way
+constexpr duration one_way_delay = milliseconds(30);  ///< each way
 constexpr duration change_interval = milliseconds(5); ///< shorter than a message takes
 constexpr duration max_apply_time = std::chrono::seconds(2);
 
@@ -49,10 +49,10 @@
 /// A control instance at an address of its own, behind a slow link.
 class control_instance {
 public:
-    control_instance(asio::io_context& context, const std::string& ip, std::uint16_t port)
+    control_instance(asio::io_context& context, const std::string& ip, std::uint16_t port, duration delay)
         : name_(to_string(endpoint_address{ip, port})), port_(test::free_port()),
           relay_(context, {asio::ip::make_address(ip), port}, {asio::ip::make_address("127.0.0.1"), port_},
-                 link_delay),
+                 delay),
           publisher_(context, times_),
           server_(context, {"127.0.0.1", port_}, identity_of(name_), control_link_settings(),
                   [this](const auto& from, const transport::frame& received) { on_frame(from, received); }) {}
@@ -108,12 +108,12 @@
 
 /// Two control instances, which apply the same changes, and entries.
 struct harness {
-    harness() {
+    explicit harness(duration delay_of_a = one_way_delay) {
         settings.ip = std::string("127.0.0.1");
         settings.peer_port = test::free_port();
         settings.seeds = {"127.0.0.2", "127.0.0.3"};
-        a = std::make_unique<control_instance>(context, "127.0.0.2", settings.peer_port);
-        b = std::make_unique<control_instance>(context, "127.0.0.3", settings.peer_port);
+        a = std::make_unique<control_instance>(context, "127.0.0.2", settings.peer_port, delay_of_a);
+        b = std::make_unique<control_instance>(context, "127.0.0.3", settings.peer_port, one_way_delay);
     }
     /// @returns what the new entry serves by
     served_directories& start_entry() {
@@ -131,7 +131,9 @@
     }
     void publish() {
         ++index;
-        a->publish(index);
+        if (a_follows) {
+            a->publish(index);
+        }
         b->publish(index);
     }
     bool run_until(const std::function<bool()>& condition, duration limit) {
@@ -157,6 +159,7 @@
     std::unique_ptr<control_instance> b;
     std::uint64_t index = 1000;
     bool changing = true;
+    bool a_follows = true; ///< false: a lacks the changes
     time_point next_change;
 
 private:
@@ -197,6 +200,41 @@
     CHECK(served.all.front()->index >= current);
 }
 
+// Guards against a started entry that serves by the directory of a control instance which lags behind.
+TEST_CASE("an entry that starts serves by the directory of the leader") {
+    harness it(one_way_delay / 6);
+    it.publish();
+    it.a_follows = false;
+    it.run(milliseconds(100));
+    const std::uint64_t current = it.index;
+    SUBCASE("although another one has answered first") {
+        it.b->set_leads(true, 1);
+        const auto& served = it.start_entry();
+        REQUIRE(it.run_until([&] { return !served.all.empty(); }, max_apply_time));
+        CHECK(served.all.front()->index >= current);
+    }
+    SUBCASE("that is elected after its start") {
+        const auto& served = it.start_entry();
+        it.run(milliseconds(500));
+        CHECK(served.all.empty());
+        it.b->set_leads(true, 1);
+        REQUIRE(it.run_until([&] { return !served.all.empty(); }, max_apply_time));
+        CHECK(served.all.front()->index >= current);
+    }
+    SUBCASE("that turns out to be its source") {
+        it.a_follows = true;
+        const auto& served = it.start_entry();
+        it.run(milliseconds(500));
+        it.a->set_leads(true, 1);
+        CHECK(it.run_until([&] { return !served.all.empty(); }, max_apply_time));
+    }
+    SUBCASE("but does not wait for one for ever, as its data centre may be cut off") {
+        it.changing = false;
+        const auto& served = it.start_entry();
+        CHECK(it.run_until([&] { return !served.all.empty(); }, std::chrono::seconds(3)));
+    }
+}
+
 TEST_CASE("an entry follows control instances of an earlier release") {
     harness it;
     it.a->set_confirms(false);
