Entries: a subscription ends when the entry follows another control instance

Cause: nothing ended a subscription but the end of its connection.

Evidence: the new test failed before: the former source still had a subscriber 200 ms after the entry had left it.

The entry tells its former source (DirectorySubscribe.ends). A control instance of an earlier release reads the same frame as a subscription that is ahead of it, and sends nothing either.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -109,6 +109,8 @@
   // number and precedes the updates of the subscription: those before it belong to an earlier one. Its known_index is
   // the control instance's: the updates up to it follow at once, and the directory is outdated before.
   3: i64 subscription
+  // Ends the subscription. known_index is then the highest number: an earlier release sends nothing before it.
+  4: bool ends
 }
 
 struct EntryInstance {
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -9,6 +9,9 @@
 #include <directory_types.h>
 #include <spdlog/spdlog.h>
 
+#include <limits>
+#include <utility>
+
 namespace kingcupseam::router {
 
 namespace {
@@ -96,8 +99,12 @@
     for (const auto& it : status.entries) {
         parse_instance_name(it.name);
     }
-    const bool begins_to_lead = status.leads && !control_instances_[name].leads;
-    control_instances_[name] = {status.leads, status.term, true, status.confirms_subscriptions};
+    control_instance& sender = control_instances_[name];
+    const bool begins_to_lead = status.leads && !sender.leads;
+    sender.leads = status.leads;
+    sender.term = status.term;
+    sender.up = true;
+    sender.confirms_subscriptions = status.confirms_subscriptions;
     for (const auto& it : status.control_instances) {
         dial(it);
     }
@@ -140,8 +147,10 @@
 }
 
 void control_links::subscribe(const std::string& name) {
+    end_former_subscriptions(name);
     source_ = name;
-    const control_instance& source = control_instances_.at(name);
+    control_instance& source = control_instances_.at(name);
+    source.has_subscription = true;
     spdlog::info("directory source name={} leads={} term={} held={}", name, source.leads, source.term,
                  directory_->index);
     // A control instance of an earlier release does not confirm.
@@ -154,6 +163,17 @@
     link(name).notify({frame_type::directory_subscribe, 0, encode(request)});
 }
 
+void control_links::end_former_subscriptions(const std::string& source) {
+    for (auto& [name, it] : control_instances_) {
+        if (name != source && std::exchange(it.has_subscription, false)) {
+            wire::DirectorySubscribe end;
+            end.known_index = std::numeric_limits<std::int64_t>::max();
+            end.ends = true;
+            link(name).notify({frame_type::directory_subscribe, 0, encode(end)});
+        }
+    }
+}
+
 void control_links::on_subscribed(const std::string& name, const std::string& payload) {
     const auto confirmed = decode<wire::DirectorySubscribe>(payload);
     if (name == source_ && confirmed.subscription == subscription_) {
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -45,6 +45,7 @@
         std::int64_t term = 0;
         bool up = false; ///< connected, and its status is known
         bool confirms_subscriptions = false;
+        bool has_subscription = false;
     };
 
     void dial(const std::string& name);
@@ -58,6 +59,8 @@
     void on_update(const std::string& name, const std::string& payload);
     void choose_source();
     void subscribe(const std::string& name);
+    /// Ends the subscriptions at all control instances but @p source.
+    void end_former_subscriptions(const std::string& source);
     /// Passes the directory on unless the source is about to send the rest of a newer one. The first one must
     /// be that of the leader: another control instance may lag by any time.
     void serve_if_current();
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -146,12 +146,9 @@
     case frame_type::join_request:
         on_join(from, decode<wire::JoinRequest>(received.payload));
         break;
-    case frame_type::directory_subscribe: {
-        const auto request = decode<wire::DirectorySubscribe>(received.payload);
-        publisher_.subscribe(from, {static_cast<std::uint64_t>(request.known_index), request.expands,
-                                    static_cast<std::uint64_t>(request.subscription)});
+    case frame_type::directory_subscribe:
+        on_subscribe(from, decode<wire::DirectorySubscribe>(received.payload));
         break;
-    }
     case frame_type::load_report:
         on_load_report(from->peer().id.name, received.payload);
         break;
@@ -163,6 +160,16 @@
     }
 }
 
+void control_node::on_subscribe(const std::shared_ptr<transport::connection>& from,
+                                const wire::DirectorySubscribe& request) {
+    if (request.ends) {
+        publisher_.unsubscribe(*from);
+        return;
+    }
+    publisher_.subscribe(from, {static_cast<std::uint64_t>(request.known_index), request.expands,
+                                static_cast<std::uint64_t>(request.subscription)});
+}
+
 void control_node::on_join(const std::shared_ptr<transport::connection>& from,
                            const wire::JoinRequest& request) {
     const std::string& name = from->peer().id.name;
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -68,6 +68,8 @@
     void send_message(const consensus::message& message);
     void on_frame(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void on_join(const std::shared_ptr<transport::connection>& from, const wire::JoinRequest& request);
+    void on_subscribe(const std::shared_ptr<transport::connection>& from,
+                      const wire::DirectorySubscribe& request);
     void on_order(const std::shared_ptr<transport::connection>& from, const transport::frame& received);
     void on_load_report(const std::string& entry, const std::string& payload);
     /// Logs the entries that begin or cease to serve by an outdated directory.
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -32,6 +32,7 @@
 
     /// Replaces an earlier subscription of the same peer.
     void subscribe(const std::shared_ptr<transport::connection>& peer, const directory_subscription& wanted);
+    void unsubscribe(const transport::connection& peer) { subscribers_.erase(peer.peer().id.name); }
     void publish(directory::snapshot_ptr current);
     std::size_t subscribers() const noexcept { return subscribers_.size(); }
 
--- a/tests/router/subscription_test.cpp
+++ b/tests/router/subscription_test.cpp
@@ -58,6 +58,12 @@
                   [this](const auto& from, const transport::frame& received) { on_frame(from, received); }) {}
 
     void publish(std::uint64_t index) { publisher_.publish(directory_at(index)); }
+    /// Lists an entry of its own in its status.
+    void list_entry(const std::string& name) {
+        wire::EntryInstance listed;
+        listed.name = name;
+        status_.entries = {listed};
+    }
     void set_leads(bool leads, std::int64_t term) {
         status_.leads = leads;
         status_.term = term;
@@ -67,7 +73,7 @@
     }
     /// Makes it one of an earlier release, which does not number subscriptions.
     void set_confirms(bool confirms) { status_.confirms_subscriptions = confirms; }
-    int subscriptions = 0;
+    std::size_t subscribers() const { return publisher_.subscribers(); }
 
 private:
     void on_frame(const std::shared_ptr<transport::connection>& from, const transport::frame& received) {
@@ -75,8 +81,11 @@
             joined_.push_back(from);
             send_status(from);
         } else if (received.type == frame_type::directory_subscribe) {
-            ++subscriptions;
             const auto request = transport::decode<wire::DirectorySubscribe>(received.payload);
+            if (request.ends && status_.confirms_subscriptions) {
+                publisher_.unsubscribe(*from);
+                return;
+            }
             const auto number = status_.confirms_subscriptions ? request.subscription : 0;
             publisher_.subscribe(from, {static_cast<std::uint64_t>(request.known_index), request.expands,
                                         static_cast<std::uint64_t>(number)});
@@ -104,6 +113,7 @@
 struct served_directories {
     std::uint64_t index() const { return all.empty() ? 0 : all.back()->index; }
     std::vector<directory::snapshot_ptr> all;
+    std::vector<entry_instance> entries; ///< that it passes requests on to
 };
 
 /// Two control instances, which apply the same changes, and entries.
@@ -122,7 +132,7 @@
         callbacks.on_directory = [&served](directory::snapshot_ptr it) {
             served.all.push_back(std::move(it));
         };
-        callbacks.on_entries = [](const auto&) {};
+        callbacks.on_entries = [&served](std::vector<entry_instance> it) { served.entries = std::move(it); };
         callbacks.on_poison_requests = [](const auto&) {};
         callbacks.on_limits = [](const auto&) {};
         entries_.push_back(
@@ -235,6 +245,24 @@
     }
 }
 
+// Guards against control instances that send each change to entries which drop it.
+TEST_CASE("a control instance that an entry no longer follows sends it no changes") {
+    harness it;
+    it.a->set_leads(true, 1);
+    const auto& served = it.start_entry();
+    REQUIRE(it.run_until([&] { return served.index() > 1000; }, max_apply_time));
+    REQUIRE(it.a->subscribers() == 1);
+    it.a->set_leads(false, 2);
+    it.b->set_leads(true, 2);
+    it.run(milliseconds(200));
+    CHECK(it.a->subscribers() == 0);
+    CHECK(it.b->subscribers() == 1);
+    it.a->set_leads(true, 3);
+    const std::uint64_t current = it.index;
+    CHECK(it.run_until([&] { return served.index() >= current; }, max_apply_time));
+    CHECK(it.a->subscribers() == 1);
+}
+
 TEST_CASE("an entry follows control instances of an earlier release") {
     harness it;
     it.a->set_confirms(false);
@@ -245,8 +273,15 @@
     it.a->set_leads(false, 2);
     it.b->set_leads(true, 2);
     it.run(milliseconds(200));
-    const std::uint64_t current = it.index;
-    CHECK(it.run_until([&] { return served.index() >= current; }, max_apply_time));
+    for (std::int64_t term = 3; term <= 4; ++term) {
+        const std::uint64_t current = it.index;
+        CHECK(it.run_until([&] { return served.index() >= current; }, max_apply_time));
+        it.changing = false; // an update on its way would be refused
+        it.run(milliseconds(100));
+        it.a->set_leads(term == 3, term);
+        it.b->set_leads(term == 4, term);
+        it.changing = true;
+    }
 }
 
 } // namespace kingcupseam::router
