Entries: lists of a former leader do not replace those of its successor

Cause: each status of a control instance that says that it leads was taken, whatever its term.

Evidence: the new test failed before: after leader 2 had listed 127.0.0.1:2, a late status of leader 1 brought back 127.0.0.1:1.

Lists of a term below that of another known leader are dropped; the choice of the source compared terms already.

--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -9,6 +9,7 @@
 #include <directory_types.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -108,7 +109,7 @@
     for (const auto& it : status.control_instances) {
         dial(it);
     }
-    if (status.leads) {
+    if (status.leads && !has_later_leader(status.term)) {
         std::vector<entry_instance> entries;
         for (const auto& it : status.entries) {
             entries.push_back({it.name, it.data_center});
@@ -128,6 +129,11 @@
     }
 }
 
+bool control_links::has_later_leader(std::int64_t term) const {
+    return std::any_of(control_instances_.begin(), control_instances_.end(),
+                       [&](const auto& it) { return it.second.leads && it.second.term > term; });
+}
+
 void control_links::choose_source() {
     std::string best = source_;
     for (const auto& [name, it] : control_instances_) {
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -57,6 +57,8 @@
     void on_status(const std::string& name, const std::string& payload);
     void on_subscribed(const std::string& name, const std::string& payload);
     void on_update(const std::string& name, const std::string& payload);
+    /// Whether another control instance is known to lead in a later term.
+    bool has_later_leader(std::int64_t term) const;
     void choose_source();
     void subscribe(const std::string& name);
     /// Ends the subscriptions at all control instances but @p source.
--- a/tests/router/subscription_test.cpp
+++ b/tests/router/subscription_test.cpp
@@ -263,6 +263,22 @@
     CHECK(it.a->subscribers() == 1);
 }
 
+// Guards against lists of a former leader that replace those of the present one.
+TEST_CASE("an entry ignores the lists of a leader that another one has followed") {
+    harness it;
+    it.a->list_entry("127.0.0.1:1");
+    it.b->list_entry("127.0.0.1:2");
+    it.a->set_leads(true, 1);
+    const auto& served = it.start_entry();
+    REQUIRE(it.run_until([&] { return served.entries.size() == 1; }, max_apply_time));
+    it.b->set_leads(true, 2);
+    it.run(milliseconds(100));
+    it.a->set_leads(true, 1); // does not know yet
+    it.run(milliseconds(100));
+    REQUIRE(served.entries.size() == 1);
+    CHECK(served.entries.front().name == "127.0.0.1:2");
+}
+
 TEST_CASE("an entry follows control instances of an earlier release") {
     harness it;
     it.a->set_confirms(false);
