Entries: a started one that holds the leader's directory already serves at once

Cause: an entry considered whether to serve only after an update, and a leader sends none to an entry that has its directory.

Evidence: the new section failed before: nothing served within 1 s.

The entry considers it when its subscription is confirmed as well.

--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -122,7 +122,7 @@
         callbacks_.on_poison_requests(std::move(listed));
         callbacks_.on_limits(from_wire(status.limits));
     }
-    if (begins_to_lead && name == source_ && !serves_) {
+    if (begins_to_lead && name == source_ && served_index_ == 0) {
         subscribe(name); // to learn up to which index its directory goes now
     } else {
         choose_source();
@@ -185,6 +185,7 @@
     if (name == source_ && confirmed.subscription == subscription_) {
         subscribed_ = true;
         source_index_ = static_cast<std::uint64_t>(confirmed.known_index);
+        serve_if_current(); // no update follows if the directory is the newest already
     }
 }
 
@@ -225,14 +226,18 @@
 }
 
 void control_links::serve_if_current() {
-    if (directory_->index < source_index_) {
+    if (directory_->index == served_index_ || directory_->index < source_index_) {
         return;
     }
-    if (!serves_ && !source_leads()) {
+    if (served_index_ == 0 && !source_leads()) {
         wait_for_leader();
         return;
     }
-    serves_ = true;
+    serve();
+}
+
+void control_links::serve() {
+    served_index_ = directory_->index;
     callbacks_.on_directory(directory_);
 }
 
@@ -247,11 +252,10 @@
     }
     leader_wait_timer_.expires_after(max_leader_wait);
     leader_wait_timer_.async_wait([this](const asio::error_code& ec) {
-        if (!ec && !serves_) {
+        if (!ec && served_index_ == 0) {
             spdlog::warn("no leader within reach: the directory may be outdated source={} index={}", source_,
                          directory_->index);
-            serves_ = true;
-            callbacks_.on_directory(directory_);
+            serve();
         }
     });
 }
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -66,6 +66,7 @@
     /// Passes the directory on unless the source is about to send the rest of a newer one. The first one must
     /// be that of the leader: another control instance may lag by any time.
     void serve_if_current();
+    void serve();
     bool source_leads() const;
     /// Passes on the directory of another control instance if there is no leader for some time.
     void wait_for_leader();
@@ -85,7 +86,7 @@
     std::int64_t subscription_ = 0;  ///< number of the newest subscription
     std::uint64_t source_index_ = 0; ///< of the source's directory when the subscription began
     bool subscribed_ = false;        ///< updates of the source belong to the newest subscription
-    bool serves_ = false;            ///< a directory has been passed on
+    std::uint64_t served_index_ = 0; ///< of the directory that was passed on last; 0: none
     bool waits_for_leader_ = false;
     asio::steady_timer retry_timer_;
     asio::steady_timer leader_wait_timer_;
--- a/tests/router/subscription_test.cpp
+++ b/tests/router/subscription_test.cpp
@@ -223,6 +223,15 @@
         REQUIRE(it.run_until([&] { return !served.all.empty(); }, max_apply_time));
         CHECK(served.all.front()->index >= current);
     }
+    SUBCASE("at once, when it is the one that the entry has already") {
+        it.a_follows = true;
+        it.publish();
+        it.changing = false;
+        it.run(milliseconds(100));
+        it.b->set_leads(true, 1);
+        const auto& served = it.start_entry();
+        CHECK(it.run_until([&] { return !served.all.empty(); }, std::chrono::seconds(1)));
+    }
     SUBCASE("that is elected after its start") {
         const auto& served = it.start_entry();
         it.run(milliseconds(500));
@@ -235,8 +244,9 @@
         it.a_follows = true;
         const auto& served = it.start_entry();
         it.run(milliseconds(500));
+        it.changing = false;
         it.a->set_leads(true, 1);
-        CHECK(it.run_until([&] { return !served.all.empty(); }, max_apply_time));
+        CHECK(it.run_until([&] { return !served.all.empty(); }, milliseconds(500)));
     }
     SUBCASE("but does not wait for one for ever, as its data centre may be cut off") {
         it.changing = false;
