Directory: entries get a difference however many changes two updates are apart

Cause: differences are encoded from the last 64 states, which nothing bounds in time. When more changes than that are made while the entries get one update, the state that all of them hold is not kept, and each gets the whole directory, which fills links of 2 Mbit/s.

The new test failed before: 60,819 bytes where a tenth of the whole, 5,785, would do.

The state that the last round sent is kept as a base beside the history: it is what subscribers hold. It takes up the memory of one more state. In the test of a directory that was dropped for its size, the entry held that state; it now holds an earlier one, as the case is about a state that is not kept.

What remains of the lag is the time in which the leader sends to all entries between other work.

--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -82,9 +82,16 @@
     }
 }
 
+const directory::snapshot* directory_publisher::find_state(std::uint64_t index) const {
+    if (index != 0 && index == former_target_->index) {
+        return former_target_.get();
+    }
+    return history_.contains(index) ? &history_.at(index) : nullptr;
+}
+
 void directory_publisher::send_target(transport::connection& peer, const subscriber& to) {
     std::uint64_t base = to.known_index;
-    if (!history_.contains(base)) {
+    if (find_state(base) == nullptr) {
         if (!history_.contains(whole_index_) || whole_index_ < to.known_index) {
             whole_ = make_update(nullptr);
             whole_index_ = target_->index;
@@ -95,7 +102,7 @@
     if (base < target_->index) {
         auto known = updates_.find(base);
         if (known == updates_.end()) {
-            known = updates_.emplace(base, make_update(&history_.at(base))).first;
+            known = updates_.emplace(base, make_update(find_state(base))).first;
         }
         send(peer, known->second, to.expands);
     }
@@ -105,7 +112,7 @@
     const task_times::scope measured(task_times_, control_task::publish);
     if (round_left_ == 0) {
         // All entries get the same directory in a round, so that few updates are encoded.
-        target_ = current_;
+        former_target_ = std::exchange(target_, current_);
         has_new_subscriber_ = false;
         updates_.clear();
         round_left_ = subscribers_.size();
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -56,6 +56,8 @@
     static void send(transport::connection& peer, const update& changes, bool expands);
     /// Sends what the subscriber lacks of the round's target.
     void send_target(transport::connection& peer, const subscriber& to);
+    /// @returns null if the state is not kept
+    const directory::snapshot* find_state(std::uint64_t index) const;
     /// The update from @p base, or from nothing, to the round's target.
     update make_update(const directory::snapshot* base) const;
 
@@ -63,9 +65,10 @@
     task_times& task_times_;
     bool scheduled_ = false;
     directory::snapshot_ptr current_ = std::make_shared<const directory::snapshot>();
-    directory::snapshot_ptr target_ = current_; ///< sent to all subscribers in the current round
-    std::size_t round_left_ = 0;                ///< subscribers that the current round has not visited yet
-    bool has_new_subscriber_ = false;           ///< since the round began
+    directory::snapshot_ptr target_ = current_;        ///< sent to all subscribers in the current round
+    directory::snapshot_ptr former_target_ = current_; ///< of the round before: subscribers hold it
+    std::size_t round_left_ = 0;      ///< subscribers that the current round has not visited yet
+    bool has_new_subscriber_ = false; ///< since the round began
     directory_history history_;
     std::map<std::uint64_t, update> updates_; ///< to the target, by index of the known one
     update whole_;                            ///< a recent directory for subscribers that hold none
--- a/tests/router/directory_memory_test.cpp
+++ b/tests/router/directory_memory_test.cpp
@@ -151,10 +151,15 @@
     entry->bytes = 0;
 
     SUBCASE("when it missed many changes") {
+        it.publisher.unsubscribe(*entry);
         for (state.index = 2; state.index <= states; ++state.index) {
             state.config = make_configuration(state.index, 100, mebibyte);
             it.publish(state);
+            if (state.index == states / 2) {
+                it.run(); // the directory that it holds is not the last one that was sent
+            }
         }
+        it.publisher.subscribe(entry, {1, false});
         it.run();
         CHECK(entry->held.index == states);
         CHECK(entry->bytes >= whole);
--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -166,6 +166,28 @@
     }
 }
 
+// Guards against whole directories for all entries while hundreds of upstreams register: links were full of
+// them.
+TEST_CASE("an entry gets a difference however many changes are made between two updates") {
+    harness it;
+    const auto states = make_states(300);
+    const auto entry = std::make_shared<fake_entry>("entry");
+    it.publisher(0).publish(states[0]);
+    it.publisher(0).subscribe(entry, {0, false});
+    it.run();
+    REQUIRE(entry->held.index == 1);
+    const std::size_t whole = entry->bytes;
+    for (std::size_t i = 1; i < 300; ++i) {
+        if (i % 100 == 0) {
+            entry->bytes = 0;
+            it.run();
+            CHECK(entry->held.index == i);
+            CHECK(entry->bytes < whole / 10);
+        }
+        it.publisher(0).publish(states[i]);
+    }
+}
+
 // Guards against compressing a large update anew for each entry.
 TEST_CASE("a large update is compressed for the entries that can expand it") {
     harness it;
