--- a/tests/router/subscription_test.cpp
+++ b/tests/router/subscription_test.cpp
@@ -25,7 +25,7 @@
 constexpr duration max_apply_time = std::chrono::seconds(2);
 
 /// The directory at a log index; the version of its configuration is the index in thousands.
-directory::snapshot_ptr directory_at(std::uint64_t index) {
+directory::snapshot_ptr directory_at(std::uint64_t index, bool draining) {
     directory::snapshot result;
     result.index = index;
     directory::configuration config;
@@ -35,6 +35,7 @@
     one.incarnation = {"u", 1};
     one.address = {"127.0.0.1", 80};
     one.slots = static_cast<std::int32_t>(index);
+    one.draining = draining;
     result.upstreams.emplace("u", one);
     return std::make_shared<const directory::snapshot>(std::move(result));
 }
@@ -57,7 +58,7 @@
           server_(context, {"127.0.0.1", port_}, identity_of(name_), control_link_settings(),
                   [this](const auto& from, const transport::frame& received) { on_frame(from, received); }) {}
 
-    void publish(std::uint64_t index) { publisher_.publish(directory_at(index)); }
+    void publish(std::uint64_t index, bool draining) { publisher_.publish(directory_at(index, draining)); }
     /// Lists an entry of its own in its status.
     void list_entry(const std::string& name) {
         wire::EntryInstance listed;
@@ -142,9 +143,9 @@
     void publish() {
         ++index;
         if (a_follows) {
-            a->publish(index);
+            a->publish(index, upstream_drains);
         }
-        b->publish(index);
+        b->publish(index, upstream_drains);
     }
     bool run_until(const std::function<bool()>& condition, duration limit) {
         const time_point end = steady_now() + limit;
@@ -170,6 +171,7 @@
     std::uint64_t index = 1000;
     bool changing = true;
     bool a_follows = true; ///< false: a lacks the changes
+    bool upstream_drains = false;
     time_point next_change;
 
 private:
@@ -179,7 +181,7 @@
 
 } // namespace
 
-// Guards against a configuration that an entry does not get while upstreams come and go.
+// Guards against changes, also of leaving upstreams, that an entry does not hear of while others go on.
 TEST_CASE("an entry follows a leader that led before, while changes go on") {
     harness it;
     it.a->set_leads(true, 1);
@@ -200,6 +202,8 @@
         CHECK(it.run_until([&] { return served.index() >= current; }, max_apply_time));
         it.run(milliseconds(50));
     }
+    it.upstream_drains = true;
+    CHECK(it.run_until([&] { return served.all.back()->upstreams.at("u").draining; }, max_apply_time));
 }
 
 // Guards against a started entry that serves by a configuration that is no longer in force.
