--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -234,6 +234,7 @@
 
 void control_node::on_leadership_change(bool leading, time_point now) {
     leading_ = leading;
+    forget_receipts();
     const std::uint64_t term = group_->node().term();
     // A leader that was out of contact and still leads the same term: no other member has led meanwhile, so
     // its knowledge of the leases is complete.
@@ -251,7 +252,6 @@
         last_announcements_.clear();
         key_loads_.clear();
         limits_.clear();
-        receipts_.clear();
         poison_detector_ = poison_request_detector();
         for (const auto& [id, it] : state_machine_.state()->upstreams) {
             conditions_[id].last_announced = now;
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -74,6 +74,8 @@
     void on_load_report(const std::string& entry, const std::string& payload);
     /// Logs the entries that begin or cease to serve by an outdated directory.
     void check_receipts(time_point now);
+    /// Entries report to the leader alone.
+    void forget_receipts();
     /// Upstreams that have told entries that they are about to stop are treated as if they had reported it
     /// here.
     void on_leaving_reports(const wire::LoadReport& report);
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -98,6 +98,12 @@
         .set(milliseconds(longest));
 }
 
+void control_node::forget_receipts() {
+    receipts_.clear();
+    behind_.clear();
+    check_receipts(steady_now());
+}
+
 void control_node::on_leaving_reports(const wire::LoadReport& report) {
     for (const auto& it : report.leaving) {
         const directory::upstream_incarnation incarnation{it.upstream, it.upstream_started_ms};
--- a/tests/router/control_node_test.cpp
+++ b/tests/router/control_node_test.cpp
@@ -53,6 +53,11 @@
     }
     void send(frame_type type, std::string payload) { link_.notify({type, 0, std::move(payload)}); }
     bool up() const { return link_.up(); }
+    void report_held(std::int64_t index) {
+        wire::LoadReport report;
+        report.held_index = index;
+        link_.notify({frame_type::load_report, 0, transport::encode(report)});
+    }
     /// Reports a request that was in progress when @p upstream crashed.
     void report_crash(std::int64_t digest, const std::string& upstream) {
         wire::LoadReport report;
@@ -113,6 +118,35 @@
     }
 }
 
+// Guards against an entry that serves by an outdated directory without anybody noticing.
+TEST_CASE("a leader counts the entries that lack a change for over a second") {
+    asio::io_context context;
+    const test::temporary_folder folder;
+    const auto settings = settings_of(folder);
+    metrics::registry registry;
+    control_node node(context, settings, registry, [](const auto&, const auto&) {});
+    fake_entry entry(context, "127.0.0.1:1", settings);
+    const auto run_until = [&](const std::function<bool()>& condition) {
+        const time_point end = steady_now() + std::chrono::seconds(10);
+        while (!condition() && steady_now() < end) {
+            context.run_for(milliseconds(10));
+            context.restart();
+        }
+        return condition();
+    };
+    REQUIRE(run_until([&] { return entry.last.leads && entry.last.entries.size() == 1; }));
+    directory::configuration wanted;
+    wanted.version = 1;
+    bool accepted = false;
+    node.accept_configuration(wanted, [&](bool ok) { accepted = ok; });
+    REQUIRE(run_until([&] { return accepted; }));
+    const auto& behind = registry.gauge_of("entries_behind", {});
+    entry.report_held(1);
+    CHECK(run_until([&] { return behind.value() == 1; }));
+    entry.report_held(1000);
+    CHECK(run_until([&] { return behind.value() == 0; }));
+}
+
 // Guards against frames that end the control instance which reads them, as reports did (review case 4).
 TEST_CASE("a frame whose content cannot be read ends its connection and no process") {
     asio::io_context context;
