Tests: a full upstream's reset may come back before a burst is sent

The test was wrong, not the entry: it took for granted that all ten requests reach the upstream before its first reset comes back. An entry that has heard of it sends no more than there is room for, and refuses what would be late with 503, as intended.

As strict as before: every request is answered, in doubt or refused; as many are in doubt as were reset; and, new, a refused one never arrived at the upstream.

--- a/tests/platform/full_upstream_test.cpp
+++ b/tests/platform/full_upstream_test.cpp
@@ -78,8 +78,11 @@
     SUBCASE("runs a request that may run once at most once, and the others stay in doubt") {
         auto answers = send_burst("/once/1");
         CHECK(model.resets > 0);
-        CHECK(answers[200] + answers[502] == burst);
-        CHECK(answers[200] == burst - model.resets);
+        // A reset may come back before the last requests are sent; these are then refused without being sent.
+        CHECK(answers[200] + answers[502] + answers[503] == burst);
+        CHECK(answers[200] >= slots);
+        CHECK(answers[502] == model.resets);
+        CHECK(static_cast<int>(model.arrivals.size()) == burst - answers[503]);
         for (const auto& arrival : model.arrivals) {
             CAPTURE(arrival.first);
             CHECK(arrival.second == 1);
