--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -185,6 +185,8 @@
     if (name == source_ && confirmed.subscription == subscription_) {
         subscribed_ = true;
         source_index_ = static_cast<std::uint64_t>(confirmed.known_index);
+        spdlog::info("directory subscribed source={} index={} held={}", name, source_index_,
+                     directory_->index);
         serve_if_current(); // no update follows if the directory is the newest already
     }
 }
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -55,7 +55,7 @@
           publisher_.publish(state_machine_.state());
           receipts_.on_change(state_machine_.state()->index, steady_now());
       }),
-      publisher_(context, task_times_), tick_timer_(context) {
+      publisher_(context, task_times_), tick_timer_(context), order_failures_(registry) {
     open_group();
     const transport::peer_identity identity{self_, settings_.data_center};
     const auto handler = [this](const std::shared_ptr<transport::connection>& from,
@@ -206,7 +206,10 @@
     });
     const time_point now = steady_now();
     log_late_tick(now);
-    group_->tick();
+    {
+        const task_times::scope measured(task_times_, control_task::group);
+        group_->tick();
+    }
     const bool leading = group_->leads();
     if (leading != leading_) {
         on_leadership_change(leading, now);
@@ -220,6 +223,7 @@
     if (now >= next_join_) {
         next_join_ = now + join_interval;
         task_times_.take();
+        order_failures_.log();
         wire::JoinRequest join;
         join.wants_vote = true;
         for (const auto& name : dialled_) {
@@ -343,12 +347,17 @@
 
 void control_node::propose(const directory::command& change, on_accepted done) {
     if (!group_->leads()) {
+        order_failures_.add("commit", "lost-leadership");
         done(false);
         return;
     }
-    group_->propose(
-        directory::encode(change),
-        [done = std::move(done)](const std::optional<std::string>& result) { done(result.has_value()); });
+    group_->propose(directory::encode(change),
+                    [this, done = std::move(done)](const std::optional<std::string>& result) {
+                        if (!result) {
+                            order_failures_.add("commit", "not-committed");
+                        }
+                        done(result.has_value());
+                    });
 }
 
 } // namespace kingcupseam::router
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -5,6 +5,7 @@
 #include "router/directory_publisher.h"
 #include "router/directory_receipts.h"
 #include "router/directory_state_machine.h"
+#include "router/order_failures.h"
 #include "router/poison_requests.h"
 #include "router/protocol_adapter.h"
 #include "router/settings.h"
@@ -136,6 +137,7 @@
     time_point last_status_at_;
     bool status_due_ = false; ///< the status has changed in a way that entries need soon
     time_point last_tick_ = steady_now();
+    order_failures order_failures_;
 };
 
 } // namespace kingcupseam::router
--- a/src/router/control_node_orders.cpp
+++ b/src/router/control_node_orders.cpp
@@ -28,6 +28,25 @@
     }
 }
 
+std::string name_of(int kind) {
+    switch (kind) {
+    case order_announce:
+        return "announce";
+    case order_depart:
+        return "depart";
+    case order_configure:
+        return "configure";
+    case order_read:
+        return "read";
+    default:
+        return "unknown";
+    }
+}
+
+std::int64_t milliseconds(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 } // namespace
 
 bool control_node::is_stale(const announcement& report) const {
@@ -139,9 +158,13 @@
         done(true);
         return;
     }
-    spdlog::info("configuration proposed version={} routes={}", change.config->version,
-                 change.config->routes.size());
-    propose(change, std::move(done));
+    const std::uint64_t version = change.config->version;
+    spdlog::info("configuration proposed version={} routes={}", version, change.config->routes.size());
+    propose(change, [version, done = std::move(done), since = steady_now()](bool committed) {
+        spdlog::info("configuration {} version={} after_ms={}", committed ? "committed" : "not committed",
+                     version, milliseconds(steady_now() - since));
+        done(committed);
+    });
 }
 
 void control_node::read_configuration(on_document done) {
@@ -156,7 +179,13 @@
 void control_node::forward_to_leader(int kind, std::string payload,
                                      std::function<void(std::optional<std::string>)> done) {
     const auto leader = group_->node().leader();
-    if (!leader || leader->name == self_.name || !mesh_->up(leader->name)) {
+    if (!leader || leader->name == self_.name) {
+        order_failures_.add(name_of(kind), "no-leader");
+        done(std::nullopt);
+        return;
+    }
+    if (!mesh_->up(leader->name)) {
+        order_failures_.add(name_of(kind), "no-link");
         done(std::nullopt);
         return;
     }
@@ -165,8 +194,9 @@
     order.payload = std::move(payload);
     mesh_->link_to(leader->name, parse_endpoint("control group", "leader", leader->name))
         .request({frame_type::control_order, 0, encode(order)}, forward_timeout,
-                 [done = std::move(done)](const transport::reply& it) {
+                 [this, kind, done = std::move(done)](const transport::reply& it) {
                      if (!it.answer || it.answer->type != frame_type::control_order_reply) {
+                         order_failures_.add(name_of(kind), "no-answer");
                          done(std::nullopt);
                          return;
                      }
@@ -177,6 +207,9 @@
                          done(std::nullopt);
                          throw; // closes the link
                      }
+                     if (!reply.accepted) {
+                         order_failures_.add(name_of(kind), "refused-by-leader");
+                     }
                      done(reply.accepted ? std::optional(std::move(reply.payload)) : std::nullopt);
                  });
 }
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -205,10 +205,12 @@
 }
 
 void control_node::send_status(const std::shared_ptr<transport::connection>& to) {
+    const task_times::scope measured(task_times_, control_task::status);
     to->send({frame_type::control_status, 0, status_payload()});
 }
 
 void control_node::broadcast_status() {
+    const task_times::scope measured(task_times_, control_task::status);
     status_due_ = false;
     last_status_at_ = steady_now();
     const std::string payload = status_payload();
--- a/src/router/task_times.cpp
+++ b/src/router/task_times.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> task_names{"announce", "report",    "publish",
-                                                     "plan",     "consensus", "order"};
+constexpr std::array<std::string_view, 8> task_names{"announce",  "report", "publish", "plan",
+                                                     "consensus", "order",  "status",  "group"};
 
 duration thread_time() {
     timespec it{};
--- a/src/router/task_times.h
+++ b/src/router/task_times.h
@@ -10,7 +10,7 @@
 namespace kingcupseam::router {
 
 /// Work of a control instance on its control thread.
-enum class control_task : std::uint8_t { announce, report, publish, plan, consensus, order };
+enum class control_task : std::uint8_t { announce, report, publish, plan, consensus, order, status, group };
 
 /// Processor time of the calling thread by kind of work, to tell what kept it from other work.
 class task_times {
@@ -33,7 +33,7 @@
     std::string take();
 
 private:
-    static constexpr std::size_t tasks = 6;
+    static constexpr std::size_t tasks = 8;
     std::array<duration, tasks> used_{};
     duration total_at_take_{};
 };
