Control instances: one that is no member of the group forwards orders to the leader

Operators and upstreams were refused with 503 by most control instances of a large deployment: changes of the configuration, reports, departures, and reads of the configuration in force. They went on to others, with growing pauses, until one voted.

Control instances now name the leader and its term in what they send each other each second, at each change of leadership and whenever they hear of a later term. The newest term counts, for 3 s after the last member heard from that leader. It is safe: the leader itself still decides by its lease whether it may answer, and a forwarded order is never forwarded again. An instance also dials the leader that it is told of, so a leader that is no seed knows all spares.

Test: orders are carried out by a control instance that is no member of the group.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -151,6 +151,11 @@
   // True from a control instance, which may become a voter.
   1: bool wants_vote
   2: bool leaving
+  // Control instance that leads, as far as the sender, a control instance, knows; empty if it knows none.
+  3: string leader
+  4: i64 leader_term
+  // Time since the sender heard of it.
+  5: i64 leader_age_ms
 }
 
 struct KeyDemand {
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -13,6 +13,8 @@
 #include <directory_types.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace kingcupseam::router {
 
 namespace {
@@ -28,7 +30,9 @@
 constexpr duration tick_interval = std::chrono::milliseconds(40);
 constexpr duration late_tick = std::chrono::milliseconds(300);
 constexpr duration lease_manager_interval = std::chrono::milliseconds(80);
-constexpr duration join_interval = std::chrono::seconds(1);
+constexpr std::chrono::seconds join_interval(1);
+// Of the leader's name on its way over several control instances.
+constexpr std::chrono::milliseconds max_notice_age = 3 * join_interval;
 constexpr duration min_status_interval = std::chrono::milliseconds(200);
 // Longer than outages of zones and machines.
 constexpr duration max_upstream_silence = std::chrono::seconds(40);
@@ -55,7 +59,8 @@
           publisher_.publish(state_machine_.state());
           receipts_.on_change(state_machine_.state()->index, steady_now());
       }),
-      publisher_(context, task_times_), tick_timer_(context), order_failures_(registry) {
+      publisher_(context, task_times_), tick_timer_(context), leader_notices_(max_notice_age),
+      order_failures_(registry) {
     open_group();
     const transport::peer_identity identity{self_, settings_.data_center};
     const auto handler = [this](const std::shared_ptr<transport::connection>& from,
@@ -117,9 +122,7 @@
     link.on_state_change([this, name, &link](bool up) {
         spdlog::info("control instance {} name={}", up ? "reached" : "lost", name);
         if (up) {
-            wire::JoinRequest join;
-            join.wants_vote = true;
-            link.notify({frame_type::join_request, 0, encode(join)});
+            link.notify({frame_type::join_request, 0, encode(own_join())});
         }
     });
 }
@@ -177,6 +180,7 @@
     if (request.wants_vote) {
         spares_[from->peer().id] = steady_now();
         dial(name);
+        on_leader_notice(request);
     } else if (request.leaving) {
         spdlog::info("entry leaves name={}", name);
         entries_.erase(name);
@@ -224,18 +228,57 @@
         next_join_ = now + join_interval;
         task_times_.take();
         order_failures_.log();
-        wire::JoinRequest join;
-        join.wants_vote = true;
-        for (const auto& name : dialled_) {
-            if (mesh_->up(name)) {
-                mesh_->link_to(name, parse_endpoint("control group", "member", name))
-                    .notify({frame_type::join_request, 0, encode(join)});
-            }
-        }
+        send_joins();
         broadcast_status();
     }
 }
 
+std::optional<leader_notice> control_node::find_leader(time_point now) const {
+    const auto& node = group_->node();
+    auto told = leader_notices_.current(now);
+    if (const auto leader = node.leader(); leader && (!told || told->term <= node.term())) {
+        return leader_notice{leader->name, node.term(), now};
+    }
+    return told;
+}
+
+wire::JoinRequest control_node::own_join() const {
+    wire::JoinRequest result;
+    result.wants_vote = true;
+    const time_point now = steady_now();
+    if (const auto leader = find_leader(now)) {
+        result.leader = leader->name;
+        result.leader_term = static_cast<std::int64_t>(leader->term);
+        result.leader_age_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - leader->heard).count();
+    }
+    return result;
+}
+
+void control_node::send_joins() {
+    const std::string payload = encode(own_join());
+    for (const auto& name : dialled_) {
+        if (mesh_->up(name)) {
+            mesh_->link_to(name, parse_endpoint("control group", "member", name))
+                .notify({frame_type::join_request, 0, payload});
+        }
+    }
+}
+
+void control_node::on_leader_notice(const wire::JoinRequest& request) {
+    if (request.leader.empty()) {
+        return;
+    }
+    parse_instance_name(request.leader);
+    const auto age =
+        std::chrono::milliseconds(std::clamp<std::int64_t>(request.leader_age_ms, 0, max_notice_age.count()));
+    if (leader_notices_.add(
+            {request.leader, static_cast<std::uint64_t>(request.leader_term), steady_now() - age})) {
+        dial(request.leader);
+        send_joins(); // members other than the leader may not know all instances
+    }
+}
+
 void control_node::on_leadership_change(bool leading, time_point now) {
     leading_ = leading;
     forget_receipts();
@@ -263,6 +306,7 @@
     }
     spdlog::info("control leadership leads={} resumes={} term={} index={}", leading, resumes, term,
                  state_machine_.state()->index);
+    send_joins();
     broadcast_status();
 }
 
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -5,6 +5,7 @@
 #include "router/directory_publisher.h"
 #include "router/directory_receipts.h"
 #include "router/directory_state_machine.h"
+#include "router/leader_notices.h"
 #include "router/order_failures.h"
 #include "router/poison_requests.h"
 #include "router/protocol_adapter.h"
@@ -87,6 +88,12 @@
     void send_status(const std::shared_ptr<transport::connection>& to);
     void broadcast_status();
     std::string status_payload();
+    /// The leader by the group's messages, or by what other control instances tell if this one gets none.
+    std::optional<leader_notice> find_leader(time_point now) const;
+    wire::JoinRequest own_join() const;
+    /// Tells the other control instances of this one and of the leader.
+    void send_joins();
+    void on_leader_notice(const wire::JoinRequest& request);
     void propose(const directory::command& change, on_accepted done);
     /// Forwards an order of an upstream or operator to the leader; @p done gets its answer, or nullopt when
     /// there is none.
@@ -117,6 +124,7 @@
     std::unique_ptr<transport::peer_server> server_;
     std::set<std::string> dialled_;
     std::map<consensus::member_id, time_point> spares_; ///< control instances that may become voters
+    leader_notices leader_notices_;
     std::map<std::string, std::weak_ptr<transport::connection>>
         entries_; ///< entries that accept requests, by name
     std::unique_ptr<key_ranges::lease_manager> lease_manager_;
--- a/src/router/control_node_orders.cpp
+++ b/src/router/control_node_orders.cpp
@@ -178,7 +178,7 @@
 
 void control_node::forward_to_leader(int kind, std::string payload,
                                      std::function<void(std::optional<std::string>)> done) {
-    const auto leader = group_->node().leader();
+    const auto leader = find_leader(steady_now());
     if (!leader || leader->name == self_.name) {
         order_failures_.add(name_of(kind), "no-leader");
         done(std::nullopt);
--- a/tests/router/control_node_test.cpp
+++ b/tests/router/control_node_test.cpp
@@ -1,4 +1,5 @@
 #include "router/control_node.h"
+#include "router/leader_notices.h"
 #include "router/link_settings.h"
 #include "support/free_port.h"
 #include "support/temporary_folder.h"
@@ -31,6 +32,16 @@
     return result;
 }
 
+/// Settings of another control instance of the same system, which is no voter.
+process_settings settings_of_other(const test::temporary_folder& folder, const process_settings& seed,
+                                   std::string ip) {
+    process_settings result = seed;
+    result.name = std::string("other");
+    result.ip = std::move(ip);
+    result.data_folder = folder.path() / "other";
+    return result;
+}
+
 /// An entry's link to the control instance, which counts the statuses that it gets.
 class fake_entry {
 public:
@@ -147,6 +158,94 @@
     CHECK(run_until([&] { return behind.value() == 0; }));
 }
 
+// Guards against operators and upstreams that are refused by most control instances, and wait for one that
+// votes.
+TEST_CASE("orders are carried out by a control instance that is no member of the group") {
+    asio::io_context context;
+    const test::temporary_folder folder;
+    auto settings = settings_of(folder);
+    settings.tolerated_losses = 0;
+    metrics::registry registry;
+    const auto make_node = [&](const process_settings& its) {
+        return std::make_unique<control_node>(context, its, registry, [](const auto&, const auto&) {});
+    };
+    const auto other = make_node(settings_of_other(folder, settings, "127.0.0.2"));
+    const auto run_until = [&](const std::function<bool()>& condition) {
+        const time_point end = steady_now() + std::chrono::seconds(5);
+        while (!condition() && steady_now() < end) {
+            context.run_for(milliseconds(10));
+            context.restart();
+        }
+        return condition();
+    };
+    std::uint64_t version = 0;
+    int acknowledged = 0;
+    int answered = 0;
+    const auto is_acknowledged = [&] {
+        directory::configuration wanted;
+        wanted.version = ++version;
+        const int before = answered;
+        acknowledged = 0;
+        other->accept_configuration(wanted, [&](bool ok) {
+            acknowledged += ok ? 1 : 0;
+            ++answered;
+        });
+        return run_until([&] { return answered > before; }) && acknowledged == 1;
+    };
+    CHECK_FALSE(is_acknowledged()); // nobody leads yet
+    const auto seed = make_node(settings);
+
+    SUBCASE("soon after a leader was elected") {
+        CHECK(run_until(is_acknowledged));
+    }
+    SUBCASE("and reads, reports and departures as well") {
+        REQUIRE(run_until(is_acknowledged));
+        std::optional<std::string> document;
+        other->read_configuration([&](std::optional<std::string> it) { document = std::move(it); });
+        CHECK(run_until([&] { return document.has_value(); }));
+        bool left = false;
+        other->depart("u", [&](bool ok) { left = ok; });
+        CHECK(run_until([&] { return left; }));
+    }
+    SUBCASE("that came later than the leader") {
+        REQUIRE(run_until(is_acknowledged));
+        const auto late = make_node([&] {
+            auto its = settings_of_other(folder, settings, "127.0.0.3");
+            its.data_folder = folder.path() / "late";
+            return its;
+        }());
+        bool accepted = false;
+        CHECK(run_until([&] {
+            directory::configuration wanted;
+            wanted.version = ++version;
+            late->accept_configuration(wanted, [&](bool ok) { accepted = accepted || ok; });
+            return accepted;
+        }));
+    }
+}
+
+// Guards against a notice of a former leader that replaces that of its successor.
+TEST_CASE("the newest leader that other control instances tell of counts") {
+    leader_notices notices(std::chrono::seconds(3));
+    const time_point begun = steady_now();
+    CHECK_FALSE(notices.current(begun));
+    CHECK(notices.add({"a", 5, begun}));
+    CHECK_FALSE(notices.add({"a", 5, begun}));
+    CHECK(notices.add({"b", 6, begun}));
+    CHECK_FALSE(notices.add({"a", 5, begun + std::chrono::seconds(1)}));
+    CHECK_FALSE(notices.add({"", 9, begun}));
+    REQUIRE(notices.current(begun));
+    CHECK(notices.current(begun)->name == "b");
+    SUBCASE("until nobody tells of it any more") {
+        CHECK(notices.current(begun + std::chrono::seconds(3)));
+        CHECK_FALSE(notices.current(begun + std::chrono::seconds(4)));
+    }
+    SUBCASE("as long as others tell of it") {
+        CHECK_FALSE(notices.add({"b", 6, begun + std::chrono::seconds(2)}));
+        CHECK(notices.current(begun + std::chrono::seconds(4)));
+    }
+}
+
 // Guards against frames that end the control instance which reads them, as reports did (review case 4).
 TEST_CASE("a frame whose content cannot be read ends its connection and no process") {
     asio::io_context context;
