Control instances: only the leader sends lists of entries, limits and poison requests

Each of 15 control instances sent the list of all 285 entries to all of them whenever one came or went, up to five times a second, over links of 2 Mbit/s. Entries read the lists of the leader alone and parsed the others in vain.

Instances that do not lead now send no lists, so a change of the entries changes their status no more and nothing is sent.

Test: only the leader tells entries of the others; fails when the condition is taken out.

--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -88,6 +88,7 @@
     void send_status(const std::shared_ptr<transport::connection>& to);
     void broadcast_status();
     std::string status_payload();
+    void add_lists(wire::ControlStatus& status);
     /// The leader by the group's messages, or by what other control instances tell if this one gets none.
     std::optional<leader_notice> find_leader(time_point now) const;
     wire::JoinRequest own_join() const;
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -182,6 +182,13 @@
         const auto peer = it.second.lock();
         return !peer || !peer->open();
     });
+    if (leading_) {
+        add_lists(status); // entries take them from the leader alone
+    }
+    return encode(status);
+}
+
+void control_node::add_lists(wire::ControlStatus& status) {
     for (const auto& listed : poison_detector_.list()) {
         wire::WatchedRequest it;
         it.digest = static_cast<std::int64_t>(listed.digest);
@@ -201,7 +208,6 @@
         }
         status.entries.push_back(std::move(entry));
     }
-    return encode(status);
 }
 
 void control_node::send_status(const std::shared_ptr<transport::connection>& to) {
--- a/tests/router/control_node_test.cpp
+++ b/tests/router/control_node_test.cpp
@@ -158,6 +158,43 @@
     CHECK(run_until([&] { return behind.value() == 0; }));
 }
 
+// Guards against lists of all entries that each control instance sends to all entries when one comes or goes.
+TEST_CASE("only the leader tells entries of the others") {
+    asio::io_context context;
+    const test::temporary_folder folder;
+    auto settings = settings_of(folder);
+    settings.tolerated_losses = 0;
+    const auto settings_of_second = settings_of_other(folder, settings, "127.0.0.2");
+    metrics::registry registry;
+    control_node leader(context, settings, registry, [](const auto&, const auto&) {});
+    control_node other(context, settings_of_second, registry, [](const auto&, const auto&) {});
+    const auto run_until = [&](const std::function<bool()>& condition) {
+        const time_point end = steady_now() + std::chrono::seconds(5);
+        while (!condition() && steady_now() < end) {
+            context.run_for(milliseconds(10));
+            context.restart();
+        }
+        return condition();
+    };
+    fake_entry at_leader(context, "127.0.0.9:1", settings);
+    fake_entry at_other(context, "127.0.0.9:1", settings_of_second);
+    REQUIRE(run_until([&] {
+        return at_leader.last.leads && at_leader.last.entries.size() == 1 &&
+               !at_other.last.control_instances.empty();
+    }));
+    CHECK(at_other.last.entries.empty());
+    context.run_for(std::chrono::milliseconds(1200)); // the control instances have found each other
+    context.restart();
+    const int before = at_other.statuses;
+    for (int i = 2; i < 5; ++i) {
+        const std::string name = std::string("127.0.0.9:").append(std::to_string(i));
+        fake_entry second_at_leader(context, name, settings);
+        fake_entry second_at_other(context, name, settings_of_second);
+        CHECK(run_until([&] { return at_leader.last.entries.size() == 2; }));
+    }
+    CHECK(at_other.statuses == before);
+}
+
 // Guards against operators and upstreams that are refused by most control instances, and wait for one that
 // votes.
 TEST_CASE("orders are carried out by a control instance that is no member of the group") {
