Control instances: a status for all entries is compressed once and sent in turns

A change of the list of entries kept the control thread in one handler for the encoding and compression of one copy for each entry. Nothing is committed, published or acknowledged meanwhile, and the work grows with the square of the entries.

The list is now encoded and compressed once (control_status_compressed, for entries that say that they take it, as they do for the directory) and sent to eight entries at a time; other handlers run in between, and each entry gets its turn also while the list changes all the time. Entries that join together share one encoding. An entry's "leaving" ends only the connection on which it came: a late one removed an entry that had connected again, which was then told of no later leader.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -156,6 +156,8 @@
   4: i64 leader_term
   // Time since the sender heard of it.
   5: i64 leader_age_ms
+  // Takes control_status_compressed.
+  6: bool expands
 }
 
 struct KeyDemand {
--- a/include/kingcupseam/transport.h
+++ b/include/kingcupseam/transport.h
@@ -52,8 +52,10 @@
     directory_update_compressed,
     routed_reply_part,
     directory_subscribed,
+    control_status_compressed,
 };
-inline constexpr std::uint16_t last_frame_type = static_cast<std::uint16_t>(frame_type::directory_subscribed);
+inline constexpr std::uint16_t last_frame_type =
+    static_cast<std::uint16_t>(frame_type::control_status_compressed);
 
 /// Of the type, the correlation number and the payload.
 inline constexpr std::uint32_t max_frame_bytes = 8 * 1024 * 1024;
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -83,6 +83,8 @@
 void control_links::on_frame(const std::string& name, const transport::frame& received) {
     if (received.type == frame_type::control_status) {
         on_status(name, received.payload);
+    } else if (received.type == frame_type::control_status_compressed) {
+        on_status(name, transport::expand(received.payload));
     } else if (received.type == frame_type::directory_subscribed) {
         on_subscribed(name, received.payload);
     } else if (received.type == frame_type::directory_update) {
@@ -279,6 +281,7 @@
     wire::JoinRequest join;
     join.wants_vote = false;
     join.leaving = leaving_;
+    join.expands = true;
     to.notify({frame_type::join_request, 0, encode(join)});
 }
 
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -60,7 +60,7 @@
           receipts_.on_change(state_machine_.state()->index, steady_now());
       }),
       publisher_(context, task_times_), tick_timer_(context), leader_notices_(max_notice_age),
-      order_failures_(registry) {
+      entries_(context, task_times_, [this] { return status_payload(); }), order_failures_(registry) {
     open_group();
     const transport::peer_identity identity{self_, settings_.data_center};
     const auto handler = [this](const std::shared_ptr<transport::connection>& from,
@@ -183,11 +183,10 @@
         on_leader_notice(request);
     } else if (request.leaving) {
         spdlog::info("entry leaves name={}", name);
-        entries_.erase(name);
+        entries_.remove(*from);
         status_due_ = true;
     } else {
-        entries_[name] = from;
-        send_status(from);
+        entries_.add(from, request.expands);
     }
 }
 
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -10,6 +10,7 @@
 #include "router/poison_requests.h"
 #include "router/protocol_adapter.h"
 #include "router/settings.h"
+#include "router/status_publisher.h"
 #include "router/task_times.h"
 #include "router/upstream_limits.h"
 
@@ -85,7 +86,6 @@
     void update_speeds();
     /// Passes the limits that upstreams have stated on to the planner.
     void update_limits(time_point now);
-    void send_status(const std::shared_ptr<transport::connection>& to);
     void broadcast_status();
     std::string status_payload();
     void add_lists(wire::ControlStatus& status);
@@ -126,8 +126,7 @@
     std::set<std::string> dialled_;
     std::map<consensus::member_id, time_point> spares_; ///< control instances that may become voters
     leader_notices leader_notices_;
-    std::map<std::string, std::weak_ptr<transport::connection>>
-        entries_; ///< entries that accept requests, by name
+    status_publisher entries_; ///< entries that accept requests
     std::unique_ptr<key_ranges::lease_manager> lease_manager_;
     std::uint64_t lease_manager_term_ = 0;       ///< term in which the lease manager was created
     std::uint64_t lease_manager_generation_ = 0; ///< results for an earlier lease manager are dropped
@@ -142,7 +141,6 @@
     time_point next_lease_manager_run_;
     time_point next_decay_;
     time_point next_join_;
-    std::string last_status_;
     time_point last_status_at_;
     bool status_due_ = false; ///< the status has changed in a way that entries need soon
     time_point last_tick_ = steady_now();
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -72,10 +72,9 @@
 void control_node::check_receipts(time_point now) {
     std::set<std::string> behind;
     duration longest{};
+    const auto& connected = entries_.recipients();
     for (const auto& it : receipts_.overdue(max_directory_lag, now)) {
-        const auto known = entries_.find(it.entry);
-        const auto peer = known == entries_.end() ? nullptr : known->second.lock();
-        if (!peer || !peer->open()) {
+        if (!connected.contains(it.entry)) {
             receipts_.forget(it.entry); // reports again once it is connected
             continue;
         }
@@ -178,10 +177,6 @@
     for (const auto& [id, seen] : spares_) {
         status.control_instances.push_back(id.name);
     }
-    std::erase_if(entries_, [](const auto& it) {
-        const auto peer = it.second.lock();
-        return !peer || !peer->open();
-    });
     if (leading_) {
         add_lists(status); // entries take them from the leader alone
     }
@@ -200,35 +195,20 @@
         it.age = {}; // a status is sent again only when it has changed
     }
     status.limits = to_wire(limits);
-    for (const auto& [name, it] : entries_) {
+    for (const auto& [name, it] : entries_.recipients()) {
         wire::EntryInstance entry;
         entry.name = name;
-        if (const auto peer = it.lock()) {
+        if (const auto peer = it.peer.lock()) {
             entry.data_center = peer->peer().data_center;
         }
         status.entries.push_back(std::move(entry));
     }
 }
 
-void control_node::send_status(const std::shared_ptr<transport::connection>& to) {
-    const task_times::scope measured(task_times_, control_task::status);
-    to->send({frame_type::control_status, 0, status_payload()});
-}
-
 void control_node::broadcast_status() {
-    const task_times::scope measured(task_times_, control_task::status);
     status_due_ = false;
     last_status_at_ = steady_now();
-    const std::string payload = status_payload();
-    if (payload == last_status_) {
-        return;
-    }
-    last_status_ = payload;
-    for (const auto& [name, it] : entries_) {
-        if (const auto peer = it.lock()) {
-            peer->send({frame_type::control_status, 0, payload});
-        }
-    }
+    entries_.broadcast();
 }
 
 } // namespace kingcupseam::router
--- a/src/transport/stream_connection.cpp
+++ b/src/transport/stream_connection.cpp
@@ -22,6 +22,10 @@
     return encode(hello);
 }
 
+bool is_compressed(frame_type type) {
+    return type == frame_type::directory_update_compressed || type == frame_type::control_status_compressed;
+}
+
 } // namespace
 
 stream_connection::stream_connection(asio::ip::tcp::socket socket, peer_identity self,
@@ -72,8 +76,7 @@
         fail(false);
         return;
     }
-    pending_is_compressed_ =
-        pending_is_compressed_ || outgoing.type == frame_type::directory_update_compressed;
+    pending_is_compressed_ = pending_is_compressed_ || is_compressed(outgoing.type);
     pending_ += encode_frame(outgoing);
     ++queued_;
     if (writing_.empty()) {
