Directory: the end of a subscription ends only the one on its own connection

An entry could believe that it is subscribed and get no change any more: a control instance dropped its subscription when the end of an earlier one arrived late, on a former connection.

Cause: subscriptions were ended by the name of the entry.

Test: the end of a subscription on a former connection does not end the one on the present connection; fails when the end goes by name alone (index 0 of 2).

--- a/src/router/directory_publisher.cpp
+++ b/src/router/directory_publisher.cpp
@@ -26,6 +26,13 @@
     schedule_flush(batch_interval);
 }
 
+void directory_publisher::unsubscribe(const transport::connection& peer) {
+    const auto known = subscribers_.find(peer.peer().id.name);
+    if (known != subscribers_.end() && known->second.peer.lock().get() == &peer) {
+        subscribers_.erase(known);
+    }
+}
+
 void directory_publisher::publish(directory::snapshot_ptr current) {
     current_ = std::move(current);
     history_.add(current_);
--- a/src/router/directory_publisher.h
+++ b/src/router/directory_publisher.h
@@ -32,7 +32,8 @@
 
     /// Replaces an earlier subscription of the same peer.
     void subscribe(const std::shared_ptr<transport::connection>& peer, const directory_subscription& wanted);
-    void unsubscribe(const transport::connection& peer) { subscribers_.erase(peer.peer().id.name); }
+    /// Does nothing if the peer has subscribed again on another connection.
+    void unsubscribe(const transport::connection& peer);
     void publish(directory::snapshot_ptr current);
     std::size_t subscribers() const noexcept { return subscribers_.size(); }
 
--- a/tests/router/directory_publisher_test.cpp
+++ b/tests/router/directory_publisher_test.cpp
@@ -268,4 +268,23 @@
     }
 }
 
+// Guards against an entry that believes it is subscribed and never gets a change again.
+TEST_CASE("the end of a subscription on a former connection does not end the one on the present connection") {
+    harness it;
+    const auto states = make_states(2);
+    const auto former = std::make_shared<fake_entry>("entry");
+    const auto present = std::make_shared<fake_entry>("entry");
+    it.publisher(0).publish(states[0]);
+    it.publisher(0).subscribe(former, {0, false});
+    it.run();
+    it.publisher(0).subscribe(present, {0, false});
+    it.publisher(0).unsubscribe(*former);
+    it.run();
+    it.publisher(0).publish(states[1]);
+    it.run();
+    CHECK(present->held.index == 2);
+    it.publisher(0).unsubscribe(*present);
+    CHECK(it.publisher(0).subscribers() == 0);
+}
+
 } // namespace kingcupseam::router
