Entries: without a leader they follow a control instance that gets the changes

An entry without a link to the leader kept to whichever control instance it had or reached first, also to one that is no member of the group and holds an old directory or none.

Cause: control instances were ranked by their leadership alone. A status now says whether its sender follows a leader, and such a sender ranks above others that do not lead.

Test: an entry without a leader follows a control instance that gets the changes; fails with the former ranking.

--- a/idl/directory.thrift
+++ b/idl/directory.thrift
@@ -144,6 +144,8 @@
   7: list<UpstreamLimit> limits
   // Sends directory_subscribed.
   8: bool confirms_subscriptions
+  // Hears from the leader: what this control instance holds follows the changes.
+  9: bool follows
 }
 
 // Sent to control instances by entry instances and by other control instances.
--- a/src/router/control_links.cpp
+++ b/src/router/control_links.cpp
@@ -105,6 +105,7 @@
     control_instance& sender = control_instances_[name];
     const bool begins_to_lead = status.leads && !sender.leads;
     sender.leads = status.leads;
+    sender.follows = status.follows;
     sender.term = status.term;
     sender.up = true;
     sender.confirms_subscriptions = status.confirms_subscriptions;
@@ -142,10 +143,7 @@
         if (!it.up) {
             continue;
         }
-        const auto current = control_instances_.find(best);
-        const bool better =
-            best.empty() || (it.leads && (!current->second.leads || it.term > current->second.term));
-        if (better) {
+        if (best.empty() || it.rank() > control_instances_.at(best).rank()) {
             best = name;
         }
     }
@@ -159,8 +157,8 @@
     source_ = name;
     control_instance& source = control_instances_.at(name);
     source.has_subscription = true;
-    spdlog::info("directory source name={} leads={} term={} held={}", name, source.leads, source.term,
-                 directory_->index);
+    spdlog::info("directory source name={} leads={} follows={} term={} held={}", name, source.leads,
+                 source.follows, source.term, directory_->index);
     // A control instance of an earlier release does not confirm.
     subscribed_ = !source.confirms_subscriptions;
     source_index_ = 0;
--- a/src/router/control_links.h
+++ b/src/router/control_links.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kingcupseam::router {
@@ -41,7 +42,12 @@
 
 private:
     struct control_instance {
+        /// How far its directory can be relied on: by the term that it leads in, then by whether it follows a
+        /// leader.
+        auto rank() const { return std::pair(leads ? term + 1 : 0, follows); }
+
         bool leads = false;
+        bool follows = false;
         std::int64_t term = 0;
         bool up = false; ///< connected, and its status is known
         bool confirms_subscriptions = false;
--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -220,6 +220,10 @@
     if (leading) {
         tick_leader(now);
     }
+    if (const bool follows = group_->node().leader().has_value(); follows != follows_) {
+        follows_ = follows;
+        status_due_ = true;
+    }
     if (status_due_ && now - last_status_at_ >= min_status_interval) {
         broadcast_status();
     }
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -138,6 +138,7 @@
     std::set<directory::upstream_incarnation> drains_proposed_;
     poison_request_detector poison_detector_;
     bool leading_ = false;
+    bool follows_ = false; ///< gets the group's changes
     time_point next_lease_manager_run_;
     time_point next_decay_;
     time_point next_join_;
--- a/src/router/control_node_reports.cpp
+++ b/src/router/control_node_reports.cpp
@@ -169,6 +169,7 @@
 std::string control_node::status_payload() {
     wire::ControlStatus status;
     status.leads = leading_;
+    status.follows = follows_;
     status.confirms_subscriptions = true;
     status.term = static_cast<std::int64_t>(group_->node().term());
     for (const auto& it : group_->node().members().voters) {
--- a/tests/router/subscription_test.cpp
+++ b/tests/router/subscription_test.cpp
@@ -72,6 +72,12 @@
             send_status(it);
         }
     }
+    void set_follows(bool follows) {
+        status_.follows = follows;
+        for (const auto& it : joined_) {
+            send_status(it);
+        }
+    }
     /// Makes it one of an earlier release, which does not number subscriptions.
     void set_confirms(bool confirms) { status_.confirms_subscriptions = confirms; }
     std::size_t subscribers() const { return publisher_.subscribers(); }
@@ -264,6 +270,33 @@
     }
 }
 
+// Guards against an entry that keeps to a control instance which gets no changes itself.
+TEST_CASE("an entry without a leader follows a control instance that gets the changes") {
+    harness it;
+    it.a->set_leads(true, 1);
+    const auto& served = it.start_entry();
+    REQUIRE(it.run_until([&] { return served.index() > 1000; }, max_apply_time));
+    it.a_follows = false; // removed from the group, say
+    it.a->set_leads(false, 1);
+    SUBCASE("when both are known") {
+        it.b->set_follows(true);
+    }
+    SUBCASE("which finds a leader later") {
+        it.run(milliseconds(300));
+        it.b->set_follows(true);
+    }
+    SUBCASE("until there is a leader") {
+        it.b->set_follows(true);
+        it.a_follows = true;
+        it.run(milliseconds(200));
+        it.a->set_leads(true, 2);
+        CHECK(it.run_until([&] { return it.a->subscribers() == 1 && it.b->subscribers() == 0; },
+                           max_apply_time));
+    }
+    const std::uint64_t current = it.index;
+    CHECK(it.run_until([&] { return served.index() >= current; }, max_apply_time));
+}
+
 // Guards against control instances that send each change to entries which drop it.
 TEST_CASE("a control instance that an entry no longer follows sends it no changes") {
     harness it;
