--- a/src/router/control_node.cpp
+++ b/src/router/control_node.cpp
@@ -30,9 +30,6 @@
 constexpr duration tick_interval = std::chrono::milliseconds(40);
 constexpr duration late_tick = std::chrono::milliseconds(300);
 constexpr duration lease_manager_interval = std::chrono::milliseconds(80);
-constexpr std::chrono::seconds join_interval(1);
-// Of the leader's name on its way over several control instances.
-constexpr std::chrono::milliseconds max_notice_age = 3 * join_interval;
 constexpr duration min_status_interval = std::chrono::milliseconds(200);
 // Longer than outages of zones and machines.
 constexpr duration max_upstream_silence = std::chrono::seconds(40);
@@ -106,27 +103,6 @@
                  self_.incarnation, group_->node().members().voters.size(), state_machine_.state()->index);
 }
 
-void control_node::set_seeds(const std::vector<std::string>& ips) {
-    for (const auto& it : ips) {
-        if (is_usable_seed(it)) {
-            dial(peer_name(it));
-        }
-    }
-}
-
-void control_node::dial(const std::string& name) {
-    if (name == peer_name(settings_.ip) || !dialled_.insert(name).second) {
-        return;
-    }
-    auto& link = mesh_->link_to(name, parse_endpoint("control group", "member", name));
-    link.on_state_change([this, name, &link](bool up) {
-        spdlog::info("control instance {} name={}", up ? "reached" : "lost", name);
-        if (up) {
-            link.notify({frame_type::join_request, 0, encode(own_join())});
-        }
-    });
-}
-
 void control_node::send_message(const consensus::message& message) {
     if (message.to.name == self_.name) {
         return; // a former incarnation of this instance
@@ -173,24 +149,6 @@
                                 static_cast<std::uint64_t>(request.subscription)});
 }
 
-void control_node::on_join(const std::shared_ptr<transport::connection>& from,
-                           const wire::JoinRequest& request) {
-    const std::string& name = from->peer().id.name;
-    parse_instance_name(name); // entries connect to the instances that the status names
-    if (request.wants_vote) {
-        spares_[from->peer().id] = steady_now();
-        dial(name);
-        on_leader_notice(request);
-    } else if (request.leaving) {
-        spdlog::info("entry leaves name={}", name);
-        entries_.remove(*from);
-        status_due_ = true;
-    } else {
-        receipts_.forget(name); // what a former process reported
-        entries_.add(from, request.expands);
-    }
-}
-
 void control_node::log_late_tick(time_point now) {
     const duration gap = now - std::exchange(last_tick_, now);
     if (gap > late_tick) {
@@ -237,52 +195,6 @@
     }
 }
 
-std::optional<leader_notice> control_node::find_leader(time_point now) const {
-    const auto& node = group_->node();
-    auto told = leader_notices_.current(now);
-    if (const auto leader = node.leader(); leader && (!told || told->term <= node.term())) {
-        return leader_notice{leader->name, node.term(), now};
-    }
-    return told;
-}
-
-wire::JoinRequest control_node::own_join() const {
-    wire::JoinRequest result;
-    result.wants_vote = true;
-    const time_point now = steady_now();
-    if (const auto leader = find_leader(now)) {
-        result.leader = leader->name;
-        result.leader_term = static_cast<std::int64_t>(leader->term);
-        result.leader_age_ms =
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - leader->heard).count();
-    }
-    return result;
-}
-
-void control_node::send_joins() {
-    const std::string payload = encode(own_join());
-    for (const auto& name : dialled_) {
-        if (mesh_->up(name)) {
-            mesh_->link_to(name, parse_endpoint("control group", "member", name))
-                .notify({frame_type::join_request, 0, payload});
-        }
-    }
-}
-
-void control_node::on_leader_notice(const wire::JoinRequest& request) {
-    if (request.leader.empty()) {
-        return;
-    }
-    parse_instance_name(request.leader);
-    const auto age =
-        std::chrono::milliseconds(std::clamp<std::int64_t>(request.leader_age_ms, 0, max_notice_age.count()));
-    if (leader_notices_.add(
-            {request.leader, static_cast<std::uint64_t>(request.leader_term), steady_now() - age})) {
-        dial(request.leader);
-        send_joins(); // members other than the leader may not know all instances
-    }
-}
-
 void control_node::on_leadership_change(bool leading, time_point now) {
     leading_ = leading;
     forget_receipts();
@@ -363,22 +275,6 @@
     }
 }
 
-void control_node::replace_lost_members(time_point now) {
-    std::erase_if(spares_, [&](const auto& it) { return now - it.second > 3 * join_interval; });
-    consensus::replacement_options options;
-    options.voters = 2 * settings_.tolerated_losses + 1;
-    std::vector<consensus::member_id> spares;
-    for (const auto& [id, seen] : spares_) {
-        spares.push_back(id);
-    }
-    const auto view = consensus::replacement_view_of(group_->node(), self_, std::move(spares), now);
-    if (const auto change = consensus::replacement_policy(options).next(view, now)) {
-        spdlog::info("control group changes kind={} member={} incarnation={}", static_cast<int>(change->kind),
-                     change->member.name, change->member.incarnation);
-        group_->change_membership(*change);
-    }
-}
-
 void control_node::remove_silent_upstreams(time_point now) {
     directory::command change;
     for (const auto& [id, it] : state_machine_.state()->upstreams) {
--- a/src/router/control_node.h
+++ b/src/router/control_node.h
@@ -31,6 +31,11 @@
 
 namespace kingcupseam::router {
 
+/// Between two messages of a control instance to the others, which name the leader.
+inline constexpr std::chrono::seconds join_interval(1);
+/// Of the leader's name on its way over several control instances.
+inline constexpr std::chrono::milliseconds max_notice_age = 3 * join_interval;
+
 /// One member of the control group. Holds the replicated directory and, while it leads, manages the leases of
 /// key ranges. Runs on the control thread.
 class control_node : public control_api {
