--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -74,6 +74,7 @@
 
 /// The log lines about one request, the upstreams and processes that they name, and the time they cover.
 struct request_trace {
+    std::string id;
     std::vector<const log_line*> request_lines;
     std::set<std::string> upstreams;
     std::set<std::string> processes;
@@ -83,6 +84,7 @@
 
 request_trace collect_request_trace(const std::string& id, const std::vector<log_line>& lines) {
     request_trace result;
+    result.id = id;
     for (const auto& it : lines) {
         if (it.event != "request" || it.field("id") != id) {
             continue;
@@ -143,6 +145,9 @@
     if (line.event == "request") {
         return false;
     }
+    if (line.field("id") == trace.id) {
+        return true; // of an entry that had the request for a while
+    }
     for (const char* name : {"upstream", "id"}) {
         if (trace.upstreams.contains(line.field(name))) {
             return true;
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -322,12 +322,15 @@
         }
     }
     for (const auto& it : affected) {
-        withdraw(it);
+        withdraw(it, "link-closed");
     }
 }
 
-void dispatcher::withdraw(const request_ptr& it) {
+void dispatcher::withdraw(const request_ptr& it, const char* reason) {
     if (it->exchange_id != 0) {
+        if (it->hops > 0) {
+            log_run_cut(*it, reason);
+        }
         cancel_attempt(it);
     }
     if (it->gate_request_number != 0) {
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -137,8 +137,13 @@
     void on_gate_silent(const request_ptr& it);
     /// Logs that the gate failed a request itself, and how much time this entry had left then.
     static void log_gate_failure(const in_flight_request& it, const routed_result& result);
-    /// Cancels a request whose caller, or whose forwarding entry, has disconnected.
-    void withdraw(const request_ptr& it);
+    /// Logs that a request no longer relies on its gate, and why.
+    static void log_gate_left(const in_flight_request& it, const char* reason);
+    /// Logs that the run of another entry's request is cut before its limit, and why.
+    static void log_run_cut(const in_flight_request& it, const char* reason);
+    /// Cancels a request whose caller or whose forwarding entry has withdrawn it or disconnected.
+    /// @param reason for the log, if an upstream is at work for another entry
+    void withdraw(const request_ptr& it, const char* reason);
     /// Holds the request until a directory update names an upstream for it, at most for max_owner_wait.
     void wait_for_owner(const request_ptr& it);
     void enqueue(const request_ptr& it, upstream_queue& queue);
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -55,6 +55,7 @@
     it->gate_limit = out.time_left;
     it->upstream = queue.target().incarnation.id;
     it->sent_at = now;
+    it->forwarded_at = now;
     const duration limit = it->deadline - now + gate_answer_time;
     start_deadline_timer(it, limit);
     // This entry withdraws the request at its own limit, before the link gives it up.
@@ -101,6 +102,7 @@
         dispatch(it);
         return;
     }
+    log_gate_left(*it, "lost");
     it->in_doubt = true;
     ++it->send_count;
     ++it->possible_runs;
@@ -118,6 +120,7 @@
         it->answer_by() - now < min_useful_time(*queue) || !may_retry(*it, it->possible_runs + 1)) {
         return;
     }
+    log_gate_left(*it, "silent");
     gates_->withdraw(it->gate, std::exchange(it->gate_request_number, 0));
     it->bypass_gate = true;
     it->in_doubt = true;
@@ -133,6 +136,18 @@
                  milliseconds(result.handled), milliseconds(it.deadline - now));
 }
 
+void dispatcher::log_gate_left(const in_flight_request& it, const char* reason) {
+    const time_point now = steady_now();
+    spdlog::info("gate left id={} gate={} reason={} forwarded_ms_ago={} left_ms={}", it.request.id, it.gate,
+                 reason, milliseconds(now - it.forwarded_at), milliseconds(it.deadline - now));
+}
+
+void dispatcher::log_run_cut(const in_flight_request& it, const char* reason) {
+    const time_point now = steady_now();
+    spdlog::info("run cut id={} upstream={} reason={} sent_ms_ago={} left_ms={}", it.request.id, it.upstream,
+                 reason, milliseconds(now - it.sent_at), milliseconds(it.deadline - now));
+}
+
 bool dispatcher::handle_routed(routed_request received, std::uint64_t connection, std::uint64_t number,
                                routed_reply reply) {
     const time_point now = steady_now();
@@ -171,7 +186,7 @@
     for (const auto& [id, it] : requests_) {
         if (it->request.connection == connection && it->peer_request_number == number) {
             const request_ptr found = it;
-            withdraw(found);
+            withdraw(found, "withdrawn");
             return;
         }
     }
--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -244,6 +244,7 @@
         throw;
     }
     traffic_.stop();
+    spdlog::info("entry ended requests_cut={}", dispatcher_->requests_in_flight());
 }
 
 } // namespace
--- a/src/router/in_flight_request.h
+++ b/src/router/in_flight_request.h
@@ -59,6 +59,7 @@
     std::int32_t hops = 0;                 ///< entries that forwarded it before this one
     std::string gate;                      ///< entry that it was forwarded to
     duration gate_limit{};                 ///< time that the gate was given
+    time_point forwarded_at;               ///< to the gate
     std::uint64_t gate_request_number = 0; ///< of the request at the gate; 0 when it is not there
     std::uint64_t peer_request_number = 0; ///< of a request from another entry, on its connection
     std::uint64_t exchange_id = 0;
--- a/tests/app/explain_test.cpp
+++ b/tests/app/explain_test.cpp
@@ -73,6 +73,9 @@
                 "request id=a3 outcome=late service=s upstream=u2 age_ms=631 sent_ms_ago=600");
     std::ofstream(control) << line("44.900", "control-1", "upstream registered id=u1 started_ms=5 service=s")
                            << line("45.000", "control-1", "upstream registered id=u9 started_ms=5 service=s")
+                           << line("43.450", "entry-2",
+                                   "run cut id=a1 upstream=u1 reason=withdrawn sent_ms_ago=8 left_ms=577")
+                           << line("43.460", "entry-2", "run cut id=a5 upstream=u7 reason=withdrawn")
                            << line("59.000", "control-1", "upstream departs id=u1");
     const app::arguments logs{entry.string(), control.string()};
     const auto explain_id = [&](const std::string& id) { return explain({id, logs[0], logs[1]}); };
@@ -86,6 +89,8 @@
         CHECK(contains(result.out, "other requests at u1: 1 broken"));
         CHECK(contains(result.out, "upstream registered id=u1"));
         CHECK(contains(result.out, "gate lost"));
+        CHECK(contains(result.out, "run cut id=a1"));
+        CHECK_FALSE(contains(result.out, "run cut id=a5"));
         CHECK_FALSE(contains(result.out, "id=u9"));
         CHECK_FALSE(contains(result.out, "departs"));
     }
