--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -23,7 +23,7 @@
     std::string_view text;
 };
 
-constexpr std::array<reason_text, 21> reasons{{
+constexpr std::array<reason_text, 22> reasons{{
     {"crowded", "it would have been answered after its target latency"},
     {"limited", "its upstream limits its requests or asked for a pause"},
     {"overtaken", "it waited behind more urgent work until too little time was left"},
@@ -45,6 +45,7 @@
     {"unmatched-answer", "the answer had no id, so it may have belonged to an earlier request"},
     {"timeout", "the upstream did not answer in time"},
     {"gate-lost", "the link to the gate of its upstream failed"},
+    {"gate-refused", "it may have run before the gate of its upstream refused it"},
     {"gate-timeout", "the gate of its upstream did not answer in time"},
 }};
 
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -327,15 +327,10 @@
 }
 
 void dispatcher::withdraw(const request_ptr& it, const char* reason) {
-    if (it->exchange_id != 0) {
-        if (it->hops > 0) {
-            log_run_cut(*it, reason);
-        }
-        cancel_attempt(it);
-    }
-    if (it->gate_request_number != 0) {
-        gates_->withdraw(it->gate, it->gate_request_number);
+    if (it->exchange_id != 0 && it->hops > 0) {
+        log_run_cut(*it, reason);
     }
+    cancel_attempts(it);
     registry_.counter_of("requests_withdrawn_total", "requests whose caller left before the answer").add();
     remove(it);
 }
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -133,11 +133,18 @@
     /// @returns false when this entry sends the request to the upstream itself
     bool forward_to_gate(const request_ptr& it, const upstream_queue& queue);
     void on_routed(const request_ptr& it, routed_result result);
-    /// Sends a request another way if it may run once more; otherwise it waits for its gate.
+    /// Also sends the request past its silent gate if it may run once more. The first answer ends the other
+    /// attempt.
     void on_gate_silent(const request_ptr& it);
+    /// Handles an answer of the gate itself, which no upstream gave.
+    void on_gate_failure(const request_ptr& it, routed_result result);
+    /// Counts the run that a request may have at its gate.
+    static void count_run_at_gate(in_flight_request& it);
+    /// Ends the runs of a request at its upstream and at its gate.
+    void cancel_attempts(const request_ptr& it);
     /// Logs that the gate failed a request itself, and how much time this entry had left then.
     static void log_gate_failure(const in_flight_request& it, const routed_result& result);
-    /// Logs that a request no longer relies on its gate, and why.
+    /// Logs that a request no longer relies on its gate alone, and why.
     static void log_gate_left(const in_flight_request& it, const char* reason);
     /// Logs that the run of another entry's request is cut before its limit, and why.
     static void log_run_cut(const in_flight_request& it, const char* reason);
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -78,6 +78,9 @@
                 from->on_shed(metadata.load, now);
             }
         }
+        if (it->gate_request_number != 0) {
+            return;
+        }
         if (metadata.wrong_upstream) {
             on_wrong_owner(it, now);
         } else {
@@ -109,7 +112,7 @@
     if (!success && answer.status >= 500 && it->answer_by() - now > settings_.min_attempt_time * 2) {
         it->last_failed_upstream = it->upstream;
         it->in_doubt = true;
-        if (retry_immediately(it)) {
+        if (it->gate_request_number != 0 || retry_immediately(it)) {
             return;
         }
     }
@@ -123,10 +126,16 @@
     if (end == exchange_end::not_sent) {
         --it->possible_runs;
         --it->send_count;
+    } else {
+        it->in_doubt = true;
+    }
+    if (it->gate_request_number != 0) {
+        return; // its run at the gate goes on
+    }
+    if (end == exchange_end::not_sent) {
         retry_or_end(it, "unreachable", settings_.shed_backoff);
         return;
     }
-    it->in_doubt = true;
     if (end == exchange_end::timeout || now + settings_.min_attempt_time >= it->answer_by()) {
         fail(it, status_gateway_timeout, "timeout");
         return;
@@ -189,6 +198,15 @@
     }
 }
 
+void dispatcher::cancel_attempts(const request_ptr& it) {
+    if (it->exchange_id != 0) {
+        cancel_attempt(it);
+    }
+    if (it->gate_request_number != 0) {
+        gates_->withdraw(it->gate, std::exchange(it->gate_request_number, 0));
+    }
+}
+
 upstream_queue* dispatcher::queue_of_attempt(const request_ptr& it) {
     const auto found = queues_.find(it->sent_to.id);
     return found != queues_.end() && found->second->target().incarnation == it->sent_to ? found->second.get()
@@ -215,17 +233,9 @@
 }
 
 void dispatcher::on_timeout(const request_ptr& it) {
-    if (it->exchange_id != 0) {
-        it->in_doubt = true;
-        cancel_attempt(it);
-        fail(it, status_gateway_timeout, "timeout");
-        return;
-    }
-    if (it->gate_request_number != 0) {
+    if (it->exchange_id != 0 || it->gate_request_number != 0) {
         it->in_doubt = true;
-        gates_->withdraw(it->gate, it->gate_request_number);
-        it->gate_request_number = 0;
-        fail(it, status_gateway_timeout, "gate-timeout");
+        fail(it, status_gateway_timeout, it->gate_request_number != 0 ? "gate-timeout" : "timeout");
         return;
     }
     refuse_or_fail(it, status_gateway_timeout, it->in_doubt ? "timeout" : "deadline");
@@ -278,6 +288,7 @@
                      directory_->index);
     }
     answer.close = answer.close || draining_;
+    cancel_attempts(it);
     remove(it);
     it->reply(std::move(answer));
 }
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -79,13 +79,14 @@
 void dispatcher::on_routed(const request_ptr& it, routed_result result) {
     if (result.end == routed_end::answered) {
         // The gate's clock may run faster, and its answer may hold any number.
-        const duration on_links = std::clamp(steady_now() - it->sent_at - result.handled, duration::zero(),
-                                             steady_now() - it->sent_at);
+        const duration elapsed = steady_now() - it->forwarded_at;
+        const duration on_links = std::clamp(elapsed - result.handled, duration::zero(), elapsed);
         link_times_[it->gate].add(on_links);
         slot_usage_.on_forwarded(on_links);
         it->answered_by = result.answered_by;
-        if (result.answered_by.id.empty() && result.answer.status != status_unavailable) {
-            log_gate_failure(*it, result);
+        if (result.answered_by.id.empty() && result.answer.status / 100 != 2) {
+            on_gate_failure(it, std::move(result));
+            return;
         }
         // The gate reports it. This entry stops as well to send to the upstream itself, should the gate be
         // lost. The gate may have passed the request on to another upstream than the one of this entry.
@@ -97,36 +98,60 @@
         finish(it, std::move(result.answer), "routed");
         return;
     }
-    it->bypass_gate = true;
     if (result.end == routed_end::not_accepted) {
-        dispatch(it);
+        if (it->bypass_gate) {
+            --it->possible_runs;
+            --it->send_count;
+        }
+        it->bypass_gate = true;
+        if (it->exchange_id == 0) {
+            dispatch(it);
+        }
         return;
     }
     log_gate_left(*it, "lost");
-    it->in_doubt = true;
-    ++it->send_count;
-    ++it->possible_runs;
-    if (retry_immediately(it)) {
+    count_run_at_gate(*it);
+    if (it->exchange_id != 0 || retry_immediately(it)) {
         return;
     }
     fail(it, status_bad_gateway, "gate-lost");
 }
 
+void dispatcher::on_gate_failure(const request_ptr& it, routed_result result) {
+    if (result.answer.status != status_unavailable) {
+        log_gate_failure(*it, result);
+    }
+    if (it->exchange_id != 0) {
+        return; // the attempt past the gate may still succeed
+    }
+    if (it->in_doubt && result.answer.status == status_unavailable) {
+        fail(it, status_bad_gateway, "gate-refused");
+        return;
+    }
+    finish(it, std::move(result.answer), "routed");
+}
+
+void dispatcher::count_run_at_gate(in_flight_request& it) {
+    if (!it.bypass_gate) {
+        it.bypass_gate = true;
+        it.in_doubt = true;
+        ++it.send_count;
+        ++it.possible_runs;
+    }
+}
+
 void dispatcher::on_gate_silent(const request_ptr& it) {
-    // Its upstream may be at work: it waits for the gate unless it can be sent another way now.
+    // Its upstream may be at work: silence must not end that run.
     const time_point now = steady_now();
     upstream_queue* const queue = select_upstream(it);
-    if (queue == nullptr || queue->stopped(now) || !queue->can_send(now) ||
-        it->answer_by() - now < min_useful_time(*queue) || !may_retry(*it, it->possible_runs + 1)) {
+    if (it->exchange_id != 0 || queue == nullptr || queue->stopped(now) || !queue->can_send(now) ||
+        it->answer_by() - now < min_useful_time(*queue) ||
+        !may_retry(*it, it->possible_runs + (it->bypass_gate ? 0 : 1))) {
         return;
     }
     log_gate_left(*it, "silent");
-    gates_->withdraw(it->gate, std::exchange(it->gate_request_number, 0));
-    it->bypass_gate = true;
-    it->in_doubt = true;
-    ++it->send_count;
-    ++it->possible_runs;
-    dispatch(it);
+    count_run_at_gate(*it);
+    send(it, *queue);
 }
 
 void dispatcher::log_gate_failure(const in_flight_request& it, const routed_result& result) {
