--- a/src/router/entry_process.cpp
+++ b/src/router/entry_process.cpp
@@ -10,6 +10,7 @@
 #include "router/memory_limits.h"
 #include "router/metrics_server.h"
 #include "router/seed_watcher.h"
+#include "router/stop_schedule.h"
 
 #include <kingcupseam/lifecycle.h>
 
@@ -25,17 +26,7 @@
 
 constexpr duration report_interval = std::chrono::milliseconds(300);
 constexpr int reports_per_usage_line = 7; ///< a line each 2.1 s
-// The load balancer detects an unready entry by two checks that are a second apart.
-constexpr duration min_unready_time = std::chrono::milliseconds(2600);
 constexpr duration stop_poll_interval = std::chrono::milliseconds(50);
-// Part of the grace period after which new requests are refused: they might not end before the process exits.
-constexpr int grace_part_for_new_requests = 2; // half
-// A busy process handles the stop signal late.
-constexpr duration max_signal_delay = std::chrono::milliseconds(250);
-// Time between the exit of the process and the kill signal.
-constexpr duration stop_reserve = std::chrono::milliseconds(500);
-// Time between the deadline of the last requests and the exit, for their answers.
-constexpr duration last_answer_time = std::chrono::milliseconds(100);
 // Limit of pipelined requests that are read from one connection.
 constexpr std::size_t max_pipelined = 16;
 
@@ -74,6 +65,7 @@
     std::atomic<bool> ready_{false};
     std::atomic<bool> stopping_{false};
     time_point stopping_since_;
+    stop_schedule stop_schedule_{settings_.grace_period};
 };
 
 entry_process::entry_process(const settings_source& read_settings, const protocol_adapter& protocol)
@@ -201,8 +193,7 @@
     asio::post(traffic_.io, [this] {
         stopping_since_ = steady_now();
         poll_stop();
-        dispatcher_->start_draining(stopping_since_ + settings_.grace_period - stop_reserve -
-                                    last_answer_time);
+        dispatcher_->start_draining(stopping_since_ + stop_schedule_.last_deadline());
     });
     links_->leave();
 }
@@ -214,12 +205,12 @@
             poll_stop();
         }
     });
-    const duration elapsed = steady_now() - stopping_since_;
-    if (elapsed + max_signal_delay > settings_.grace_period / grace_part_for_new_requests) {
+    const bool idle = dispatcher_->requests_in_flight() == 0 && !gates_->sending();
+    const stop_step step = stop_schedule_.next(steady_now() - stopping_since_, idle);
+    if (step != stop_step::serve) {
         dispatcher_->refuse_new_requests();
     }
-    const bool idle = dispatcher_->requests_in_flight() == 0 && !gates_->sending();
-    if ((elapsed > min_unready_time && idle) || elapsed > settings_.grace_period - stop_reserve) {
+    if (step == stop_step::end) {
         spdlog::info("entry stopped requests_cut={}", dispatcher_->requests_in_flight());
         stop_timer_.cancel();
         control_.io.stop();
