--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -50,13 +50,7 @@
     sent_ = false;
     reused_ = open_;
     parser_.reset();
-    timer_.expires_after(open_ ? request_.timeout
-                               : std::min(request_.timeout, owner_.settings_.connect_timeout));
-    timer_.async_wait([it = shared_from_this(), exchange_id](const asio::error_code& ec) {
-        if (!ec && it->exchange_id_ == exchange_id) {
-            it->on_timer();
-        }
-    });
+    start_timer(open_ ? request_.timeout : std::min(request_.timeout, owner_.settings_.connect_timeout));
     if (open_) {
         write();
     } else {
@@ -64,6 +58,17 @@
     }
 }
 
+void upstream_connection::start_timer(duration limit) {
+    timer_.expires_after(limit);
+    timer_.async_wait([it = shared_from_this(), id = exchange_id_](const asio::error_code& ec) {
+        // A handler that was already queued when the timer was set again is not cancelled.
+        const bool expired = it->timer_.expiry() <= asio::steady_timer::clock_type::now();
+        if (!ec && expired && it->exchange_id_ == id) {
+            it->on_timer();
+        }
+    });
+}
+
 void upstream_connection::connect() {
     asio::error_code ec;
     const asio::ip::tcp::endpoint remote(asio::ip::make_address(target_.ip, ec), target_.port);
@@ -89,13 +94,7 @@
         asio::error_code ignored;
         it->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
         transport::limit_unacknowledged(it->socket_, unacknowledged_limit);
-        const std::uint64_t id = it->exchange_id_;
-        it->timer_.expires_after(std::max(it->request_.timeout - (steady_now() - begun), duration::zero()));
-        it->timer_.async_wait([it, id](const asio::error_code& cancelled) {
-            if (!cancelled && it->exchange_id_ == id) {
-                it->on_timer();
-            }
-        });
+        it->start_timer(std::max(it->request_.timeout - (steady_now() - begun), duration::zero()));
         it->write();
         it->read();
     });
--- a/src/router/upstream_connection.h
+++ b/src/router/upstream_connection.h
@@ -32,6 +32,8 @@
 private:
     enum class answer_owner { this_request, other_request, unknown };
 
+    /// Calls on_timer() after @p limit, in place of any earlier limit.
+    void start_timer(duration limit);
     void connect();
     void write();
     void read();
--- a/tests/router/upstream_client_test.cpp
+++ b/tests/router/upstream_client_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -151,6 +152,25 @@
     }
 }
 
+// Guards against cutting a request right after it was sent: a thread that was busy until the limit of the
+// connect had passed took that limit for the one of the answer (LOST).
+TEST_CASE("a connection that was made while the thread was busy carries its request") {
+    harness it({ok_answer});
+    std::optional<exchange_result> result;
+    const time_point begun = steady_now();
+    auto request = it.request();
+    request.timeout = std::chrono::seconds(2);
+    it.client.send(std::move(request), [&](exchange_result ended) { result = std::move(ended); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(350));
+    while (!result) {
+        it.context.run_one();
+    }
+    CHECK(result->end == exchange_end::answered);
+    CHECK(result->answer.body == "hi");
+    CHECK(it.upstream.requests == 1);
+    CHECK(steady_now() - begun < std::chrono::seconds(2));
+}
+
 // Guards against passing on "100 Continue" as the answer.
 TEST_CASE("an interim answer is not the answer") {
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
