--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -138,7 +138,7 @@
     void on_gate_silent(const request_ptr& it);
     /// Handles an answer of the gate itself, which no upstream gave.
     void on_gate_failure(const request_ptr& it, routed_result result);
-    /// Counts the run that a request may have at its gate.
+    /// Counts the run that a request may have at its gate, which can still say that it has not run there.
     static void count_run_at_gate(in_flight_request& it);
     /// Ends the runs of a request at its upstream and at its gate.
     void cancel_attempts(const request_ptr& it);
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -111,6 +111,7 @@
     }
     log_gate_left(*it, "lost");
     count_run_at_gate(*it);
+    it->in_doubt = true;
     if (it->exchange_id != 0 || retry_immediately(it)) {
         return;
     }
@@ -134,7 +135,6 @@
 void dispatcher::count_run_at_gate(in_flight_request& it) {
     if (!it.bypass_gate) {
         it.bypass_gate = true;
-        it.in_doubt = true;
         ++it.send_count;
         ++it.possible_runs;
     }
