--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -140,6 +140,8 @@
     void on_gate_failure(const request_ptr& it, routed_result result);
     /// Counts the run that a request may have at its gate, which can still say that it has not run there.
     static void count_run_at_gate(in_flight_request& it);
+    /// Takes back what count_run_at_gate() has counted, if it has.
+    static void on_not_run_at_gate(in_flight_request& it);
     /// Ends the runs of a request at its upstream and at its gate.
     void cancel_attempts(const request_ptr& it);
     /// Logs that the gate failed a request itself, and how much time this entry had left then.
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -99,10 +99,7 @@
         return;
     }
     if (result.end == routed_end::not_accepted) {
-        if (it->bypass_gate) {
-            --it->possible_runs;
-            --it->send_count;
-        }
+        on_not_run_at_gate(*it);
         it->bypass_gate = true;
         if (it->exchange_id == 0) {
             dispatch(it);
@@ -119,19 +116,30 @@
 }
 
 void dispatcher::on_gate_failure(const request_ptr& it, routed_result result) {
-    if (result.answer.status != status_unavailable) {
+    const bool refused = result.answer.status == status_unavailable;
+    if (refused) {
+        on_not_run_at_gate(*it);
+    } else {
         log_gate_failure(*it, result);
+        it->in_doubt = true;
     }
     if (it->exchange_id != 0) {
         return; // the attempt past the gate may still succeed
     }
-    if (it->in_doubt && result.answer.status == status_unavailable) {
+    if (refused && it->in_doubt) {
         fail(it, status_bad_gateway, "gate-refused");
         return;
     }
     finish(it, std::move(result.answer), "routed");
 }
 
+void dispatcher::on_not_run_at_gate(in_flight_request& it) {
+    if (it.bypass_gate) {
+        --it.possible_runs;
+        --it.send_count;
+    }
+}
+
 void dispatcher::count_run_at_gate(in_flight_request& it) {
     if (!it.bypass_gate) {
         it.bypass_gate = true;
--- a/tests/platform/silent_gate_test.cpp
+++ b/tests/platform/silent_gate_test.cpp
@@ -179,4 +179,22 @@
     CHECK(it.answer->status == status);
 }
 
+// Guards against a 503 for a request that may have run at its gate, as it was rejected elsewhere.
+TEST_CASE("a request that its gate gave up is not answered as not run when it is rejected elsewhere") {
+    int n = 0;
+    harness it([&](const http_request& request) {
+        return n++ == 0 ? std::nullopt : std::optional(rejection(request, 503));
+    });
+    fake_gates gates;
+    it.under_test.set_gates(&gates);
+    it.configure(true);
+    it.start("/safe/1");
+    gates.callbacks.front()({routed_end::silent, {}, {}, {}});
+    it.run_until([&] { return n == 1; });
+    gates.callbacks.front()(gates_own_answer(504));
+    it.upstream.answer_held([](const http_request& request) { return rejection(request, 503); });
+    it.run_until([&] { return it.answer.has_value(); });
+    CHECK(it.answer->status == 502);
+}
+
 } // namespace kingcupseam::platform::test
