--- a/src/transport/stream_connection.cpp
+++ b/src/transport/stream_connection.cpp
@@ -72,8 +72,8 @@
     }
     if (pending_.size() + outgoing.payload.size() > settings_.max_unsent_bytes) {
         // The peer does not read. Without this limit the unsent frames would fill the memory of this
-        // instance.
-        fail(false);
+        // instance. Later, since the sender of a request must know its number before the request ends.
+        asio::post(socket_.get_executor(), [it = self()] { it->fail(false); });
         return;
     }
     pending_is_compressed_ = pending_is_compressed_ || is_compressed(outgoing.type);
--- a/tests/transport/link_test.cpp
+++ b/tests/transport/link_test.cpp
@@ -107,6 +107,21 @@
             CHECK(to_peer.up());
         }
     }
+    // Guards against a result that comes before the sender knows the number of its request.
+    SUBCASE("a request beyond the bound of unsent bytes ends later, and fails as not_sent") {
+        peer_server peer(context, listen_address, identity("b"), {}, echo);
+        link_options options;
+        options.max_unsent_bytes = 1000;
+        peer_link to_peer(context, listen_address, identity("a"), options, nullptr);
+        REQUIRE(run_until(context, [&] { return to_peer.up(); }));
+        std::optional<reply> result;
+        const auto number = to_peer.request({frame_type::forward_request, 0, std::string(1001, 'x')}, 1s,
+                                            [&](reply it) { result = std::move(it); });
+        CHECK(number != 0);
+        CHECK_FALSE(result);
+        REQUIRE(run_until(context, [&] { return result.has_value(); }));
+        CHECK(result->failure == link_failure::not_sent);
+    }
     SUBCASE("a request on a link that is down fails as not_sent, so that it may be sent elsewhere") {
         peer_link to_nobody(context, listen_address, identity("a"), {}, nullptr);
         std::optional<reply> result;
