--- a/src/router/upstream_connection.cpp
+++ b/src/router/upstream_connection.cpp
@@ -94,7 +94,12 @@
         asio::error_code ignored;
         it->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
         transport::limit_unacknowledged(it->socket_, unacknowledged_limit);
-        it->start_timer(std::max(it->request_.timeout - (steady_now() - begun), duration::zero()));
+        const duration left = it->request_.timeout - (steady_now() - begun);
+        if (left <= duration::zero()) {
+            it->finish(exchange_end::not_sent);
+            return;
+        }
+        it->start_timer(left);
         it->write();
         it->read();
     });
--- a/tests/router/upstream_client_test.cpp
+++ b/tests/router/upstream_client_test.cpp
@@ -171,6 +171,22 @@
     CHECK(steady_now() - begun < std::chrono::seconds(2));
 }
 
+// Guards against a request that is sent only to be cut at once, as its time passed while the thread was busy.
+TEST_CASE("a request whose time has passed before its connection was made is not sent") {
+    harness it({ok_answer});
+    std::optional<exchange_result> result;
+    auto request = it.request();
+    request.timeout = std::chrono::milliseconds(100);
+    it.client.send(std::move(request), [&](exchange_result ended) { result = std::move(ended); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    while (!result) {
+        it.context.run_one();
+    }
+    CHECK(result->end == exchange_end::not_sent);
+    it.context.run_for(std::chrono::milliseconds(50));
+    CHECK(it.upstream.requests == 0);
+}
+
 // Guards against passing on "100 Continue" as the answer.
 TEST_CASE("an interim answer is not the answer") {
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
