--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -265,7 +265,9 @@
 void dispatcher::send(const request_ptr& it, upstream_queue& queue) {
     const time_point now = steady_now();
     const duration left = it->deadline - now;
-    if (it->answer_by() - now < (draining_ ? std::max(settings_.min_attempt_time, min_useful_time(queue))
+    // A run at the gate must not end because too little time is left for another one.
+    if (it->gate_request_number == 0 &&
+        it->answer_by() - now < (draining_ ? std::max(settings_.min_attempt_time, min_useful_time(queue))
                                            : settings_.min_attempt_time)) {
         refuse_or_fail(it, status_gateway_timeout, "deadline");
         return;
