--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -136,6 +136,8 @@
     /// Also sends the request past its silent gate if it may run once more. The first answer ends the other
     /// attempt.
     void on_gate_silent(const request_ptr& it);
+    /// After an attempt past a silent gate has failed: makes another one, until the target latency.
+    void retry_past_gate(const request_ptr& it);
     /// Handles an answer of the gate itself, which no upstream gave.
     void on_gate_failure(const request_ptr& it, routed_result result);
     /// Counts the run that a request may have at its gate, which can still say that it has not run there.
--- a/src/router/dispatcher_answers.cpp
+++ b/src/router/dispatcher_answers.cpp
@@ -79,6 +79,7 @@
             }
         }
         if (it->gate_request_number != 0) {
+            retry_past_gate(it);
             return;
         }
         if (metadata.wrong_upstream) {
@@ -112,7 +113,11 @@
     if (!success && answer.status >= 500 && it->answer_by() - now > settings_.min_attempt_time * 2) {
         it->last_failed_upstream = it->upstream;
         it->in_doubt = true;
-        if (it->gate_request_number != 0 || retry_immediately(it)) {
+        if (it->gate_request_number != 0) {
+            retry_past_gate(it);
+            return;
+        }
+        if (retry_immediately(it)) {
             return;
         }
     }
@@ -130,7 +135,8 @@
         it->in_doubt = true;
     }
     if (it->gate_request_number != 0) {
-        return; // its run at the gate goes on
+        retry_past_gate(it); // its run at the gate goes on
+        return;
     }
     if (end == exchange_end::not_sent) {
         retry_or_end(it, "unreachable", settings_.shed_backoff);
--- a/src/router/dispatcher_gates.cpp
+++ b/src/router/dispatcher_gates.cpp
@@ -152,8 +152,8 @@
     // Its upstream may be at work: silence must not end that run.
     const time_point now = steady_now();
     upstream_queue* const queue = select_upstream(it);
-    if (it->exchange_id != 0 || queue == nullptr || queue->stopped(now) || !queue->can_send(now) ||
-        it->answer_by() - now < min_useful_time(*queue) ||
+    if (it->gate_request_number == 0 || it->exchange_id != 0 || queue == nullptr || queue->stopped(now) ||
+        !queue->can_send(now) || it->answer_by() - now < min_useful_time(*queue) ||
         !may_retry(*it, it->possible_runs + (it->bypass_gate ? 0 : 1))) {
         return;
     }
@@ -162,6 +162,18 @@
     send(it, *queue);
 }
 
+void dispatcher::retry_past_gate(const request_ptr& it) {
+    if (steady_now() + settings_.shed_backoff - it->arrived > it->route.target_latency) {
+        return;
+    }
+    it->wait_timer.expires_after(settings_.shed_backoff);
+    it->wait_timer.async_wait([this, it](const asio::error_code& ec) {
+        if (!ec && requests_.contains(it->id)) {
+            on_gate_silent(it);
+        }
+    });
+}
+
 void dispatcher::log_gate_failure(const in_flight_request& it, const routed_result& result) {
     const time_point now = steady_now();
     spdlog::info("gate failed request id={} status={} gate={} given_ms={} handled_ms={} left_ms={}",
--- a/tests/platform/silent_gate_test.cpp
+++ b/tests/platform/silent_gate_test.cpp
@@ -144,6 +144,24 @@
     }
 }
 
+// Guards against a lookup whose gate is lost for good and that waits for it until its limit, as one attempt
+// past the gate was rejected.
+TEST_CASE("a lookup at a silent gate is sent past it again after a rejection, until its target latency") {
+    int n = 0;
+    harness it([&](const http_request& request) {
+        return ++n < 3 ? rejection(request, 503) : signed_answer(request);
+    });
+    fake_gates gates;
+    it.under_test.set_gates(&gates);
+    it.configure(true);
+    it.start("/safe/1");
+    gates.callbacks.front()({routed_end::silent, {}, {}, {}});
+    it.run_until([&] { return it.answer.has_value(); });
+    CHECK(it.answer->status == 200);
+    CHECK(n == 3);
+    CHECK(gates.withdrawn == std::vector<std::uint64_t>{1});
+}
+
 // Guards against a 503, which promises that a request has not run, for one that ran before its gate refused
 // it.
 TEST_CASE("a request that its gate refuses is answered as not run only when it has not run elsewhere") {
@@ -175,7 +193,7 @@
     it.run_until([&] { return steady_now() - begun >= milliseconds(100); });
     CHECK_FALSE(it.answer);
     gates.callbacks.front()(gates_own_answer(503));
-    REQUIRE(it.answer);
+    it.run_until([&] { return it.answer.has_value(); });
     CHECK(it.answer->status == status);
 }
 
